port, client: give the vtables and the clients folders of their own

platform/ held both the vtables that the product needs from outside and the clients for the project's own stand-ins.

No code changes.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra $(WERROR) $(SANFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lpthread -lm
 
-LIB_DIRS = base proto settings state lang platform lease peer membership \
+LIB_DIRS = base proto settings state lang port client lease peer membership \
 	   backend policy request sample usage orders weights blame \
 	   timeline http app
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
--- a/app/host_poll.h
+++ b/app/host_poll.h
@@ -3,7 +3,7 @@
 
 #include "base/counter.h"
 #include "base/poll_thread.h"
-#include "platform/host_http.h"
+#include "client/host_http.h"
 
 /* Reads the platform's host list again and again on a thread of its own. */
 #define HOST_POLL_MS 500
--- a/app/peer_events.h
+++ b/app/peer_events.h
@@ -6,7 +6,7 @@
 
 #include "membership/heartbeat.h"
 #include "peer/peer_service.h"
-#include "platform/host_port.h"
+#include "port/host_port.h"
 
 /*
  * What a daemon does with messages of its peers, and what it tells them:
--- a/app/sample_log.h
+++ b/app/sample_log.h
@@ -4,7 +4,7 @@
 #include <pthread.h>
 #include <stdint.h>
 
-#include "platform/log_port.h"
+#include "port/log_port.h"
 #include "state/config.h"
 #include "state/dedupe.h"
 
--- a/app/trace_writer.h
+++ b/app/trace_writer.h
@@ -7,7 +7,7 @@
 #include "base/counter.h"
 #include "base/logger.h"
 #include "base/strbuf.h"
-#include "platform/log_port.h"
+#include "port/log_port.h"
 #include "proto/record.pb-c.h"
 #include "state/config.h"
 
--- a/app/version_poll.h
+++ b/app/version_poll.h
@@ -2,7 +2,7 @@
 #define APP_VERSION_POLL_H
 
 #include "base/poll_thread.h"
-#include "platform/weight_http.h"
+#include "client/weight_http.h"
 
 /*
  * Learns of new weight versions from the weight store and has them recorded
--- a/backend/server_pool.h
+++ b/backend/server_pool.h
@@ -4,7 +4,7 @@
 #include <pthread.h>
 #include <stdint.h>
 
-#include "platform/host_port.h"
+#include "port/host_port.h"
 #include "policy/choice.h"
 #include "policy/circuit.h"
 #include "policy/retry_budget.h"
--- a/builtin/client.h
+++ b/builtin/client.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "base/error.h"
-#include "platform/http_call.h"
+#include "client/http_call.h"
 
 /* The daemons that a subcommand speaks to, and how. */
 #define CLIENT_DAEMONS_MAX 64
--- a/platform/guarded_call.c
+++ b/client/guarded_call.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "platform/guarded_call.h"
-#include "platform/send_guard.h"
+#include "client/guarded_call.h"
+#include "client/send_guard.h"
 
 #define POST_TIMEOUT_NS (5 * NS_PER_S)
 
--- a/platform/guarded_call.h
+++ b/client/guarded_call.h
@@ -1,9 +1,9 @@
-#ifndef PLATFORM_GUARDED_CALL_H
-#define PLATFORM_GUARDED_CALL_H
+#ifndef CLIENT_GUARDED_CALL_H
+#define CLIENT_GUARDED_CALL_H
 
 #include <jansson.h>
 
-#include "platform/http_call.h"
+#include "client/http_call.h"
 
 /*
  * Posts a JSON body that may only be sent before `deadline_ns` on
--- a/platform/host_http.c
+++ b/client/host_http.c
@@ -3,8 +3,8 @@
 
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/host_http.h"
-#include "platform/json_field.h"
+#include "client/host_http.h"
+#include "client/json_field.h"
 
 #define FETCH_TIMEOUT_NS (5 * NS_PER_S)
 
--- a/platform/host_http.h
+++ b/client/host_http.h
@@ -1,8 +1,8 @@
-#ifndef PLATFORM_HOST_HTTP_H
-#define PLATFORM_HOST_HTTP_H
+#ifndef CLIENT_HOST_HTTP_H
+#define CLIENT_HOST_HTTP_H
 
-#include "platform/host_port.h"
-#include "platform/http_call.h"
+#include "port/host_port.h"
+#include "client/http_call.h"
 
 /*
  * The list of hosts over HTTP with JSON bodies. It is asked for with the
--- a/platform/http_call.c
+++ b/client/http_call.c
@@ -7,7 +7,7 @@
 #include "base/alloc.h"
 #include "base/bug.h"
 #include "base/clock.h"
-#include "platform/http_call.h"
+#include "client/http_call.h"
 
 #define CONNECT_TIMEOUT_MS 2000L
 #define MAX_RESPONSE_BYTES (64u << 20)
--- a/platform/http_call.h
+++ b/client/http_call.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_HTTP_CALL_H
-#define PLATFORM_HTTP_CALL_H
+#ifndef CLIENT_HTTP_CALL_H
+#define CLIENT_HTTP_CALL_H
 
 #include <pthread.h>
 #include <stddef.h>
--- a/platform/json_field.c
+++ b/client/json_field.c
@@ -1,5 +1,5 @@
 #include "base/alloc.h"
-#include "platform/json_field.h"
+#include "client/json_field.h"
 
 const char *json_field_text(const json_t *object, const char *name,
 			    const char *otherwise)
--- a/platform/json_field.h
+++ b/client/json_field.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_JSON_FIELD_H
-#define PLATFORM_JSON_FIELD_H
+#ifndef CLIENT_JSON_FIELD_H
+#define CLIENT_JSON_FIELD_H
 
 #include <jansson.h>
 #include <stddef.h>
--- a/platform/log_http.c
+++ b/client/log_http.c
@@ -5,8 +5,8 @@
 
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/json_field.h"
-#include "platform/log_http.h"
+#include "client/json_field.h"
+#include "client/log_http.h"
 
 #define READ_SLACK_NS (5 * NS_PER_S) /* over the time that a read waits */
 
--- a/platform/log_http.h
+++ b/client/log_http.h
@@ -1,8 +1,8 @@
-#ifndef PLATFORM_LOG_HTTP_H
-#define PLATFORM_LOG_HTTP_H
+#ifndef CLIENT_LOG_HTTP_H
+#define CLIENT_LOG_HTTP_H
 
-#include "platform/http_call.h"
-#include "platform/log_port.h"
+#include "client/http_call.h"
+#include "port/log_port.h"
 
 /* One stream of the log service over HTTP with JSON bodies. */
 #define LOG_STREAM_BYTES 32
--- a/platform/order_http.c
+++ b/client/order_http.c
@@ -4,9 +4,9 @@
 
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/guarded_call.h"
-#include "platform/json_field.h"
-#include "platform/order_http.h"
+#include "client/guarded_call.h"
+#include "client/json_field.h"
+#include "client/order_http.h"
 
 #define READ_TIMEOUT_NS (5 * NS_PER_S)
 
--- a/platform/order_http.h
+++ b/client/order_http.h
@@ -1,8 +1,8 @@
-#ifndef PLATFORM_ORDER_HTTP_H
-#define PLATFORM_ORDER_HTTP_H
+#ifndef CLIENT_ORDER_HTTP_H
+#define CLIENT_ORDER_HTTP_H
 
-#include "platform/http_call.h"
-#include "platform/order_port.h"
+#include "client/http_call.h"
+#include "port/order_port.h"
 
 /*
  * Backend server orders over HTTP with JSON bodies. Deadlines are times of
--- a/platform/send_guard.c
+++ b/client/send_guard.c
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
-#include "platform/send_guard.h"
+#include "client/send_guard.h"
 
 #define GUARD_SIGNAL (SIGRTMIN + 3)
 
--- a/platform/send_guard.h
+++ b/client/send_guard.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_SEND_GUARD_H
-#define PLATFORM_SEND_GUARD_H
+#ifndef CLIENT_SEND_GUARD_H
+#define CLIENT_SEND_GUARD_H
 
 #include <pthread.h>
 #include <signal.h>
--- a/platform/usage_http.c
+++ b/client/usage_http.c
@@ -1,5 +1,5 @@
-#include "platform/guarded_call.h"
-#include "platform/usage_http.h"
+#include "client/guarded_call.h"
+#include "client/usage_http.h"
 
 static json_t *figure_json(const struct usage_figure *figure)
 {
--- a/platform/usage_http.h
+++ b/client/usage_http.h
@@ -1,8 +1,8 @@
-#ifndef PLATFORM_USAGE_HTTP_H
-#define PLATFORM_USAGE_HTTP_H
+#ifndef CLIENT_USAGE_HTTP_H
+#define CLIENT_USAGE_HTTP_H
 
-#include "platform/http_call.h"
-#include "platform/usage_port.h"
+#include "client/http_call.h"
+#include "port/usage_port.h"
 
 /*
  * Usage reports over HTTP with JSON bodies. Deadlines are times of
--- a/platform/weight_http.c
+++ b/client/weight_http.c
@@ -1,8 +1,8 @@
 #include <stdio.h>
 
 #include "base/clock.h"
-#include "platform/json_field.h"
-#include "platform/weight_http.h"
+#include "client/json_field.h"
+#include "client/weight_http.h"
 
 #define READ_TIMEOUT_NS (5 * NS_PER_S)
 
--- a/platform/weight_http.h
+++ b/client/weight_http.h
@@ -1,8 +1,8 @@
-#ifndef PLATFORM_WEIGHT_HTTP_H
-#define PLATFORM_WEIGHT_HTTP_H
+#ifndef CLIENT_WEIGHT_HTTP_H
+#define CLIENT_WEIGHT_HTTP_H
 
-#include "platform/http_call.h"
-#include "platform/weight_port.h"
+#include "client/http_call.h"
+#include "port/weight_port.h"
 
 /* The weight store over HTTP with JSON bodies. */
 struct weight_http {
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -5,7 +5,7 @@
 
 #include "membership/summary.h"
 #include "peer/peer_outbox.h"
-#include "platform/host_port.h"
+#include "port/host_port.h"
 #include "proto/peer.pb-c.h"
 
 /*
--- a/orders/reconcile.h
+++ b/orders/reconcile.h
@@ -1,7 +1,7 @@
 #ifndef ORDERS_RECONCILE_H
 #define ORDERS_RECONCILE_H
 
-#include "platform/order_port.h"
+#include "port/order_port.h"
 
 /*
  * Which orders bring one data centre from what the platform has to what is
--- a/platform/host_port.c
+++ b/port/host_port.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "platform/host_port.h"
+#include "port/host_port.h"
 
 void host_list_finish(struct host_list *list)
 {
--- a/platform/host_port.h
+++ b/port/host_port.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_HOST_PORT_H
-#define PLATFORM_HOST_PORT_H
+#ifndef PORT_HOST_PORT_H
+#define PORT_HOST_PORT_H
 
 #include <stdint.h>
 
--- a/platform/log_port.c
+++ b/port/log_port.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/log_port.h"
+#include "port/log_port.h"
 
 void log_chunk_finish(struct log_chunk *chunk)
 {
--- a/platform/log_port.h
+++ b/port/log_port.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_LOG_PORT_H
-#define PLATFORM_LOG_PORT_H
+#ifndef PORT_LOG_PORT_H
+#define PORT_LOG_PORT_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/platform/order_port.h
+++ b/port/order_port.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_ORDER_PORT_H
-#define PLATFORM_ORDER_PORT_H
+#ifndef PORT_ORDER_PORT_H
+#define PORT_ORDER_PORT_H
 
 #include <stdint.h>
 
--- a/platform/usage_port.h
+++ b/port/usage_port.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_USAGE_PORT_H
-#define PLATFORM_USAGE_PORT_H
+#ifndef PORT_USAGE_PORT_H
+#define PORT_USAGE_PORT_H
 
 #include "state/state.h"
 
--- a/platform/weight_port.h
+++ b/port/weight_port.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_WEIGHT_PORT_H
-#define PLATFORM_WEIGHT_PORT_H
+#ifndef PORT_WEIGHT_PORT_H
+#define PORT_WEIGHT_PORT_H
 
 #include <stdint.h>
 
--- a/standin/call.c
+++ b/standin/call.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "platform/http_call.h"
+#include "client/http_call.h"
 #include "standin/call.h"
 
 #define EXIT_NO_ANSWER 3
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -4,7 +4,7 @@
 #include <pthread.h>
 #include <stdint.h>
 
-#include "platform/http_call.h"
+#include "client/http_call.h"
 #include "standin/engine_cache.h"
 #include "standin/engine_served.h"
 #include "standin/fence.h"
--- a/standin/server.h
+++ b/standin/server.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 #include "base/strbuf.h"
-#include "platform/json_field.h"
+#include "client/json_field.h"
 #include "standin/options.h"
 
 /*
--- a/standin/trainer.c
+++ b/standin/trainer.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "platform/http_call.h"
-#include "platform/json_field.h"
+#include "client/http_call.h"
+#include "client/json_field.h"
 #include "standin/trainer.h"
 #include "base/clock.h"
 #include "base/wait.h"
--- a/standin/trainer_judge.c
+++ b/standin/trainer_judge.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/json_field.h"
+#include "client/json_field.h"
 #include "standin/trainer.h"
 #include "base/clock.h"
 #include "base/wait.h"
--- a/standin/trainer_verify.c
+++ b/standin/trainer_verify.c
@@ -2,8 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/http_call.h"
-#include "platform/json_field.h"
+#include "client/http_call.h"
+#include "client/json_field.h"
 #include "standin/token.h"
 #include "standin/trainer.h"
 
--- a/state/entry_ring.h
+++ b/state/entry_ring.h
@@ -1,7 +1,7 @@
 #ifndef STATE_ENTRY_RING_H
 #define STATE_ENTRY_RING_H
 
-#include "platform/log_port.h"
+#include "port/log_port.h"
 
 /*
  * Copies of the newest log entries, bounded in number and bytes, to serve
--- a/state/log_client.h
+++ b/state/log_client.h
@@ -8,7 +8,7 @@
 #include "base/logger.h"
 #include "base/published.h"
 #include "base/rng.h"
-#include "platform/log_port.h"
+#include "port/log_port.h"
 #include "state/entry_ring.h"
 #include "state/log_queue.h"
 #include "state/snapshot.h"
--- a/t/lib-fake-log.h
+++ b/t/lib-fake-log.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 extern "C" {
-#include "platform/log_port.h"
+#include "port/log_port.h"
 }
 
 // The entries that all ports see.
--- a/t/lib-process.cc
+++ b/t/lib-process.cc
@@ -17,7 +17,7 @@
 
 extern "C" {
 #include "base/clock.h"
-#include "platform/http_call.h"
+#include "client/http_call.h"
 }
 
 static const int retry_ms = 2;
--- a/t/test-platform-hosts.cc
+++ b/t/test-client-hosts.cc
@@ -11,7 +11,7 @@
 extern "C" {
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/host_http.h"
+#include "client/host_http.h"
 }
 
 static const char *const down = "{\"down\": true}";
--- a/t/test-platform-log.cc
+++ b/t/test-client-log.cc
@@ -9,7 +9,7 @@
 
 extern "C" {
 #include "base/clock.h"
-#include "platform/log_http.h"
+#include "client/log_http.h"
 }
 
 enum LogFault { NO_FAULT, DOWN, REFUSED, LOSE_ANSWER, SLOW, OVER_RATE };
--- a/t/test-platform-orders.cc
+++ b/t/test-client-orders.cc
@@ -9,7 +9,7 @@
 extern "C" {
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/order_http.h"
+#include "client/order_http.h"
 }
 
 enum OrderFault { NO_FAULT, DOWN, REFUSED, LOSE_ANSWER, SLOW };
--- a/t/test-platform-ports.cc
+++ b/t/test-client-ports.cc
@@ -10,9 +10,9 @@
 extern "C" {
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/host_http.h"
-#include "platform/usage_http.h"
-#include "platform/weight_http.h"
+#include "client/host_http.h"
+#include "client/usage_http.h"
+#include "client/weight_http.h"
 }
 
 static const char *const down = "{\"down\": true}";
--- a/t/test-lease.cc
+++ b/t/test-lease.cc
@@ -9,7 +9,7 @@
 extern "C" {
 #include "lease/lease.h"
 #include "lease/lease_keeper.h"
-#include "platform/send_guard.h"
+#include "client/send_guard.h"
 }
 
 namespace
--- a/t/test-proof-lease.cc
+++ b/t/test-proof-lease.cc
@@ -22,7 +22,7 @@
 
 extern "C" {
 #include "lease/lease_keeper.h"
-#include "platform/send_guard.h"
+#include "client/send_guard.h"
 #include "state/log_client.h"
 }
 
--- a/t/test-proof-send-guard.cc
+++ b/t/test-proof-send-guard.cc
@@ -15,8 +15,8 @@
 #include "base/alloc.h"
 #include "base/clock.h"
 #include "base/rng.h"
-#include "platform/http_call.h"
-#include "platform/order_http.h"
+#include "client/http_call.h"
+#include "client/order_http.h"
 }
 
 static const uint64_t seed = 41;
--- a/t/test-resend.cc
+++ b/t/test-resend.cc
@@ -20,7 +20,7 @@
 #include "backend/loop.h"
 #include "base/clock.h"
 #include "base/counter.h"
-#include "platform/http_call.h"
+#include "client/http_call.h"
 }
 
 enum Then { GOES_ON, IS_GONE };
--- a/t/test-standin-process.cc
+++ b/t/test-standin-process.cc
@@ -5,7 +5,7 @@
 
 extern "C" {
 #include "base/clock.h"
-#include "platform/http_call.h"
+#include "client/http_call.h"
 }
 #include "t/lib-process.h"
 
--- a/t/test-trace.cc
+++ b/t/test-trace.cc
@@ -12,7 +12,7 @@
 #include "app/trace_writer.h"
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "platform/log_http.h"
+#include "client/log_http.h"
 }
 
 static const int LIMIT_MS = 30000;
--- a/usage/usage_reporter.h
+++ b/usage/usage_reporter.h
@@ -2,7 +2,7 @@
 #define USAGE_USAGE_REPORTER_H
 
 #include "lease/lease_keeper.h"
-#include "platform/usage_port.h"
+#include "port/usage_port.h"
 #include "usage/usage_due.h"
 
 /*
--- a/weights/weight_loop.c
+++ b/weights/weight_loop.c
@@ -7,7 +7,7 @@
 
 #include "base/alloc.h"
 #include "base/backoff.h"
-#include "platform/guarded_call.h"
+#include "client/guarded_call.h"
 
 void weight_loop_init(struct weight_loop *loop, struct server_table *servers,
 		      struct version_table *versions,
