base: keep timers in a heap

The timer service keeps its timers in a sorted list, so that each request's time-out costs a walk over all others. An event loop also has to know when the next one is due, and may move a timer that is subscribed.

Keep them in a binary heap, ordered by time and then by subscription. Let timer_subscribe() move a timer, and add timer_service_next_due_ns().

--- a/base/timer.h
+++ b/base/timer.h
@@ -8,9 +8,10 @@
 
 /*
  * The timer service. Parts subscribe a callback to a period or to a single
- * moment; one thread calls what is due, in order of time. With a fake clock
- * no thread runs: a test moves the clock and calls timer_service_run_due().
- * Callbacks must be short; they may subscribe and unsubscribe.
+ * moment; one thread calls what is due, in order of time. An event loop, or a
+ * test that moves a fake clock, starts no thread and calls
+ * timer_service_run_due(). Callbacks must be short; they may subscribe and
+ * unsubscribe. A subscribed timer may be subscribed again, which moves it.
  */
 typedef void (*timer_fn)(void *arg, int64_t now_ns);
 
@@ -19,15 +20,18 @@
 	void *arg;
 	int64_t due_ns;
 	int64_t period_ns; /* 0: once */
-	int subscribed;
-	struct timer *next; /* in order of due_ns */
+	uint64_t order; /* of subscription; decides between equal due times */
+	uint32_t place; /* in the heap, from 1; 0: not subscribed */
 };
 
 struct timer_service {
 	struct clock *clock;
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
-	struct timer *first;
+	struct timer **heap; /* the one that is due next stands first */
+	uint32_t count;
+	uint32_t alloc;
+	uint64_t next_order;
 	struct timer *running;
 	pthread_t thread;
 	int has_thread;
@@ -59,4 +63,7 @@
 /* Calls all that is due now; returns how many callbacks ran. */
 uint32_t timer_service_run_due(struct timer_service *service);
 
+/* When the next callback is due; INT64_MAX if none is subscribed. */
+int64_t timer_service_next_due_ns(struct timer_service *service);
+
 #endif
--- a/t/test-base.cc
+++ b/t/test-base.cc
@@ -1,8 +1,10 @@
 // The base library: buffers, errors, counters, timers, published values.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <thread>
+#include <vector>
 
 extern "C" {
 #include "base/backoff.h"
@@ -96,6 +98,62 @@
 	timer_service_finish(&service);
 }
 
+struct ordered_timer {
+	struct timer timer;
+	std::vector<int> *called;
+	int number;
+};
+
+static void note_call(void *arg, int64_t)
+{
+	struct ordered_timer *timer = static_cast<struct ordered_timer *>(arg);
+
+	timer->called->push_back(timer->number);
+}
+
+// Many timers in random order, some moved and some taken out again.
+TEST(Timer, CallsManyInOrderOfTheirTime)
+{
+	enum { COUNT = 500 };
+	struct fake_clock clock;
+	struct timer_service service;
+	std::vector<struct ordered_timer> timers(COUNT);
+	std::vector<int> called;
+	std::vector<int> expected;
+	std::vector<int64_t> due(COUNT);
+	struct rng rng;
+
+	rng_init(&rng, 7);
+	fake_clock_init(&clock, 0);
+	timer_service_init(&service, &clock.base);
+	for (int i = 0; i < COUNT; i++) {
+		due[i] = 1 + (int64_t)rng_below(&rng, 100000) * COUNT + i;
+		timers[i].called = &called;
+		timers[i].number = i;
+		timer_subscribe_once(&service, &timers[i].timer,
+				     i % 3 ? due[i] : due[i] + 77, note_call,
+				     &timers[i]);
+	}
+	for (int i = 0; i < COUNT; i += 3)
+		timer_subscribe_once(&service, &timers[i].timer, due[i],
+				     note_call, &timers[i]);
+	for (int i = 0; i < COUNT; i++) {
+		if (i % 5 == 1)
+			EXPECT_TRUE(
+				timer_unsubscribe(&service, &timers[i].timer));
+		else
+			expected.push_back(i);
+	}
+	std::sort(expected.begin(), expected.end(),
+		  [&](int a, int b) { return due[a] < due[b]; });
+	EXPECT_EQ(due[expected[0]], timer_service_next_due_ns(&service));
+	fake_clock_advance(&clock, INT64_C(100001) * COUNT);
+	EXPECT_EQ(expected.size(), timer_service_run_due(&service));
+	EXPECT_EQ(expected, called);
+	EXPECT_EQ(INT64_MAX, timer_service_next_due_ns(&service));
+	timer_service_finish(&service);
+}
+
 TEST(Published, ReadersSeeOldOrNewWhole)
 {
 	struct published value;
