--- a/client/json_field.c
+++ b/base/json_field.c
@@ -1,5 +1,5 @@
 #include "base/alloc.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 
 const char *json_field_text(const json_t *object, const char *name,
 			    const char *otherwise)
@@ -19,6 +19,29 @@
 	return (uint64_t)json_integer_value(value);
 }
 
+double json_field_number(const json_t *object, const char *name,
+			 double otherwise)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_number(value) ? json_number_value(value) : otherwise;
+}
+
+int json_field_bool(const json_t *object, const char *name, int otherwise)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_boolean(value) ? json_is_true(value) : otherwise;
+}
+
+uint32_t json_field_u32(const json_t *object, const char *name,
+			uint32_t otherwise)
+{
+	uint64_t value = json_field_u64(object, name, otherwise);
+
+	return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+}
+
 int json_field_copy(const json_t *object, const char *name, char *out,
 		    size_t size)
 {
--- a/client/host_http.c
+++ b/client/host_http.c
@@ -4,7 +4,7 @@
 #include "base/alloc.h"
 #include "base/clock.h"
 #include "client/host_http.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 
 #define FETCH_TIMEOUT_NS (5 * NS_PER_S)
 
--- a/client/log_http.c
+++ b/client/log_http.c
@@ -5,7 +5,7 @@
 
 #include "base/alloc.h"
 #include "base/clock.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "client/log_http.h"
 
 #define READ_SLACK_NS (5 * NS_PER_S) /* over the time that a read waits */
--- a/client/order_http.c
+++ b/client/order_http.c
@@ -5,7 +5,7 @@
 #include "base/alloc.h"
 #include "base/clock.h"
 #include "client/guarded_call.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "client/order_http.h"
 
 #define READ_TIMEOUT_NS (5 * NS_PER_S)
--- a/client/weight_http.c
+++ b/client/weight_http.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 
 #include "base/clock.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "client/weight_http.h"
 
 #define READ_TIMEOUT_NS (5 * NS_PER_S)
--- a/standin/server.h
+++ b/standin/server.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 #include "base/strbuf.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "standin/options.h"
 
 /*
--- a/standin/trainer.c
+++ b/standin/trainer.c
@@ -5,7 +5,7 @@
 
 #include "base/alloc.h"
 #include "client/http_call.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "standin/trainer.h"
 #include "base/clock.h"
 #include "base/wait.h"
--- a/standin/trainer_judge.c
+++ b/standin/trainer_judge.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "standin/trainer.h"
 #include "base/clock.h"
 #include "base/wait.h"
--- a/standin/trainer_report.c
+++ b/standin/trainer_report.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 
 #include "base/alloc.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "standin/trainer.h"
 
 static void add_span(json_t *tokens, const json_t *span)
--- a/standin/trainer_verify.c
+++ b/standin/trainer_verify.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "client/http_call.h"
-#include "client/json_field.h"
+#include "base/json_field.h"
 #include "standin/token.h"
 #include "standin/trainer.h"
 
