--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 
 CC = gcc
 CXX = g++
-PKGS = liburcu-bp jansson libprotobuf-c libxxhash libcurl libssl libcrypto
+PKGS = liburcu-bp jansson libprotobuf-c libxxhash libcurl libssl libcrypto \
+       libevent_core
 SAN =
 BUILD = build$(if $(SAN),/$(SAN))
 OPT = -O2 -g
@@ -30,11 +31,12 @@
 endif
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(WERROR) $(SANFLAGS)
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra $(WERROR) $(SANFLAGS)
-LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lpthread -lm
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lhttp_parser \
+       -lpthread -lm
 
 LIB_DIRS = base proto settings state lang port client lease peer membership \
 	   backend policy request sample usage orders weights blame \
-	   timeline http app
+	   timeline http app net
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libcurrantrelay.a
@@ -50,7 +52,7 @@
 PROGRAMS = $(if $(wildcard currantd.c),$(BUILD)/currantd) \
 	   $(if $(wildcard currant.c),$(BUILD)/currant) \
 	   $(if $(STANDIN_SRC),$(BUILD)/currant-standin)
-OWN_C = $(filter-out proto/%,$(LIB_SRC)) $(CLIENT_SRC) $(wildcard currantd.c) \
+OWN_C = $(filter-out proto/%,$(LIB_SRC)) $(CLIENT_SRC) $(wildcard currant*d.c) \
 	$(STANDIN_SRC) $(BENCH_SRC)
 OWN_H = $(filter-out %.pb-c.h,$(wildcard */*.h))
 
--- /dev/null
+++ b/net/net_server.c
@@ -0,0 +1,547 @@
+#include "net/net_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "base/alloc.h"
+#include "base/bug.h"
+#include "net/net_address.h"
+
+#define LISTEN_BACKLOG 1024
+/* What a busy connection may send ahead. */
+#define AHEAD_BYTES 65536
+/* How long a closing connection waits for the caller's side to end. */
+#define LINGER_NS (1 * NS_PER_S)
+
+enum connection_state {
+	CONNECTION_READING = 0,
+	CONNECTION_BUSY, /* its request waits for an answer */
+	CONNECTION_CLOSING, /* the last answer leaves */
+	CONNECTION_LINGERING, /* our half is closed */
+};
+
+struct net_connection {
+	struct net_server *server;
+	struct bufferevent *bev;
+	struct http_reader reader;
+	struct net_request request;
+	struct timer timer;
+	enum connection_state state;
+	uint64_t held_bytes; /* counted in the server */
+	int chunked;
+	int begun; /* the answer's head is written */
+	int close_after;
+	uint16_t refusal; /* status, once reading was stopped */
+	const char *refusal_reason;
+	struct net_connection *next;
+	struct net_connection **link;
+};
+
+static void free_connection(struct net_connection *conn)
+{
+	struct net_server *server = conn->server;
+
+	timer_unsubscribe(&server->reactor->timers, &conn->timer);
+	*conn->link = conn->next;
+	if (conn->next)
+		conn->next->link = conn->link;
+	server->connection_count--;
+	server->held_bytes -= conn->held_bytes;
+	if (conn->state == CONNECTION_BUSY)
+		server->busy_count--;
+	bufferevent_free(conn->bev);
+	strbuf_finish(&conn->request.body);
+	http_reader_finish(&conn->reader);
+	free(conn);
+}
+
+/* The caller went away, or the connection is cut from this side. */
+static void drop_connection(struct net_connection *conn)
+{
+	struct net_request_owner *owner = NULL;
+
+	if (conn->state == CONNECTION_BUSY)
+		owner = conn->request.owner;
+	conn->request.owner = NULL;
+	if (owner)
+		owner->vt->on_gone(owner);
+	free_connection(conn);
+}
+
+static void on_linger_end(void *arg, int64_t now_ns)
+{
+	(void)now_ns;
+	free_connection(arg);
+}
+
+static void linger(struct net_connection *conn)
+{
+	conn->state = CONNECTION_LINGERING;
+	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
+	timer_subscribe_once(&conn->server->reactor->timers, &conn->timer,
+			     LINGER_NS, on_linger_end, conn);
+}
+
+static void on_timeout(void *arg, int64_t now_ns);
+
+static void set_timeout(struct net_connection *conn, int64_t timeout_ns)
+{
+	timer_subscribe_once(&conn->server->reactor->timers, &conn->timer,
+			     timeout_ns, on_timeout, conn);
+}
+
+static void stop_timeout(struct net_connection *conn)
+{
+	timer_unsubscribe(&conn->server->reactor->timers, &conn->timer);
+}
+
+static void release_body(struct net_connection *conn)
+{
+	strbuf_finish(&conn->request.body);
+	conn->server->held_bytes -= conn->held_bytes;
+	conn->held_bytes = 0;
+}
+
+static void set_answered(struct net_connection *conn)
+{
+	if (conn->state == CONNECTION_BUSY)
+		conn->server->busy_count--;
+	conn->request.owner = NULL;
+	release_body(conn);
+}
+
+static void read_more(struct net_connection *conn);
+
+static void on_next_turn(void *arg, int64_t now_ns)
+{
+	(void)now_ns;
+	read_more(arg);
+}
+
+/* The answer is written whole: on to the next request, or to the end. */
+static void finish_answer(struct net_connection *conn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	set_answered(conn);
+	if (conn->close_after) {
+		conn->state = CONNECTION_CLOSING;
+		if (!evbuffer_get_length(out))
+			linger(conn);
+		return;
+	}
+	conn->state = CONNECTION_READING;
+	conn->begun = 0;
+	http_reader_next(&conn->reader);
+	set_timeout(conn, conn->server->limits.idle_timeout_ns);
+	/* Not from here: the owner that answered is still on the stack. */
+	if (evbuffer_get_length(bufferevent_get_input(conn->bev)))
+		timer_subscribe_once(&conn->server->reactor->timers,
+				     &conn->timer, 0, on_next_turn, conn);
+}
+
+static void write_head(struct net_connection *conn, uint16_t status,
+		       const char *fields, int64_t body_len)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	if (conn->server->draining)
+		conn->close_after = 1;
+	evbuffer_add_printf(out, "HTTP/1.1 %u %s\r\n", status,
+			    http_status_str((enum http_status)status));
+	if (fields)
+		evbuffer_add(out, fields, strlen(fields));
+	conn->chunked = body_len < 0;
+	if (conn->chunked)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+	else
+		evbuffer_add_printf(out, "Content-Length: %lld\r\n",
+				    (long long)body_len);
+	if (conn->close_after)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+	evbuffer_add(out, "\r\n", 2);
+	conn->begun = 1;
+}
+
+void net_request_answer(struct net_request *request,
+			const struct net_answer *answer)
+{
+	struct net_connection *conn = request->connection;
+
+	if (conn->begun)
+		BUG("a second answer on one connection");
+	if (answer->close)
+		conn->close_after = 1;
+	write_head(conn, answer->status, answer->fields,
+		   (int64_t)answer->body_len);
+	if (answer->body_len && strcmp(request->head->method, "HEAD"))
+		bufferevent_write(conn->bev, answer->body, answer->body_len);
+	finish_answer(conn);
+}
+
+void net_request_begin(struct net_request *request, uint16_t status,
+		       const char *fields, int64_t body_len)
+{
+	struct net_connection *conn = request->connection;
+
+	if (conn->begun)
+		BUG("a second answer on one connection");
+	write_head(conn, status, fields, body_len);
+}
+
+void net_request_write(struct net_request *request, const void *data,
+		       size_t len)
+{
+	struct net_connection *conn = request->connection;
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	if (!len)
+		return;
+	if (conn->chunked)
+		evbuffer_add_printf(out, "%zx\r\n", len);
+	evbuffer_add(out, data, len);
+	if (conn->chunked)
+		evbuffer_add(out, "\r\n", 2);
+}
+
+void net_request_end(struct net_request *request)
+{
+	struct net_connection *conn = request->connection;
+
+	if (conn->chunked)
+		bufferevent_write(conn->bev, "0\r\n\r\n", 5);
+	finish_answer(conn);
+}
+
+void net_request_abort(struct net_request *request)
+{
+	struct net_connection *conn = request->connection;
+
+	request->owner = NULL;
+	free_connection(conn);
+}
+
+size_t net_request_unsent_bytes(const struct net_request *request)
+{
+	return evbuffer_get_length(
+		bufferevent_get_output(request->connection->bev));
+}
+
+void net_request_peer(const struct net_request *request, char *out, size_t size)
+{
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	char ip[INET_ADDRSTRLEN] = "";
+
+	memset(&addr, 0, sizeof(addr));
+	if (!getpeername(bufferevent_getfd(request->connection->bev),
+			 (struct sockaddr *)&addr, &len))
+		inet_ntop(AF_INET, &addr.sin_addr, ip, sizeof(ip));
+	snprintf(out, size, "%s:%u", ip, ntohs(addr.sin_port));
+}
+
+/* Answers a request that could not be read, and ends the connection. */
+static void refuse(struct net_connection *conn, uint16_t status,
+		   const char *reason)
+{
+	struct net_handler *handler = conn->server->handler;
+	struct net_answer answer = {
+		.status = status,
+		.fields = "Content-Type: text/plain\r\n",
+		.body = reason,
+		.body_len = strlen(reason),
+		.close = 1,
+	};
+
+	if (handler->vt->on_refused)
+		handler->vt->on_refused(handler, &conn->reader.head, status,
+					reason);
+	conn->request.head = &conn->reader.head;
+	net_request_answer(&conn->request, &answer);
+}
+
+static void on_timeout(void *arg, int64_t now_ns)
+{
+	struct net_connection *conn = arg;
+
+	(void)now_ns;
+	if (conn->state == CONNECTION_READING && conn->reader.began)
+		refuse(conn, 408, "the request was not whole in time");
+	else
+		free_connection(conn);
+}
+
+static int stop_reading(struct net_connection *conn, uint16_t status,
+			const char *reason)
+{
+	conn->refusal = status;
+	conn->refusal_reason = reason;
+	return -1;
+}
+
+static int on_head(struct http_reader *reader)
+{
+	struct net_connection *conn =
+		(struct net_connection *)((char *)reader -
+					  offsetof(struct net_connection,
+						   reader));
+	const struct net_limits *limits = &conn->server->limits;
+	int64_t body_bytes = http_reader_body_bytes(reader);
+	const char *expect = http_head_find(&reader->head, "Expect");
+
+	if (body_bytes > 0 && (uint64_t)body_bytes > limits->max_body_bytes)
+		return stop_reading(conn, 413, "the body is over the limit");
+	if (expect && !strcasecmp(expect, "100-continue"))
+		evbuffer_add_printf(bufferevent_get_output(conn->bev),
+				    "HTTP/1.1 100 Continue\r\n\r\n");
+	set_timeout(conn, limits->idle_timeout_ns);
+	return 0;
+}
+
+static int on_body(struct http_reader *reader, const char *data, size_t len)
+{
+	struct net_connection *conn =
+		(struct net_connection *)((char *)reader -
+					  offsetof(struct net_connection,
+						   reader));
+	struct net_server *server = conn->server;
+
+	if (conn->request.body.len + len > server->limits.max_body_bytes)
+		return stop_reading(conn, 413, "the body is over the limit");
+	if (server->held_bytes + len > server->limits.max_held_bytes)
+		return stop_reading(conn, 503, "too many bodies are held");
+	strbuf_add(&conn->request.body, data, len);
+	conn->held_bytes += len;
+	server->held_bytes += len;
+	return 0;
+}
+
+static const struct http_reader_vtable reader_vtable = { on_head, on_body };
+
+static void hand_over(struct net_connection *conn)
+{
+	struct net_server *server = conn->server;
+
+	stop_timeout(conn);
+	conn->state = CONNECTION_BUSY;
+	server->busy_count++;
+	conn->close_after = !conn->reader.keep_alive;
+	conn->request.head = &conn->reader.head;
+	conn->request.whole_ns = reactor_now_ns(server->reactor);
+	server->handler->vt->on_request(server->handler, &conn->request);
+}
+
+static void on_read_result(struct net_connection *conn,
+			   enum http_reader_result result)
+{
+	switch (result) {
+	case HTTP_READER_MORE:
+		break;
+	case HTTP_READER_END:
+		hand_over(conn);
+		break;
+	case HTTP_READER_STOPPED:
+		refuse(conn, conn->refusal, conn->refusal_reason);
+		break;
+	case HTTP_READER_HEAD_TOO_LARGE:
+		refuse(conn, 431, "the head is over the limit");
+		break;
+	case HTTP_READER_MALFORMED:
+		refuse(conn, 400, "this is no HTTP request");
+		break;
+	}
+}
+
+static void begin_request(struct net_connection *conn)
+{
+	conn->request.began_ns = reactor_now_ns(conn->server->reactor);
+	conn->reader.max_head_bytes = conn->server->limits.max_head_bytes;
+	set_timeout(conn, conn->server->limits.head_timeout_ns);
+}
+
+/* Reads until a request is whole or the input is used up. */
+static void read_more(struct net_connection *conn)
+{
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+	enum http_reader_result result = HTTP_READER_MORE;
+	size_t len;
+
+	/* A result means that the connection may be gone. */
+	while (result == HTTP_READER_MORE &&
+	       conn->state == CONNECTION_READING &&
+	       (len = evbuffer_get_contiguous_space(in)) > 0) {
+		const char *data =
+			(const char *)evbuffer_pullup(in, (ev_ssize_t)len);
+		size_t used;
+
+		if (!conn->reader.began)
+			begin_request(conn);
+		result = http_reader_feed(&conn->reader, data, len, &used);
+		evbuffer_drain(in, used);
+		if (result != HTTP_READER_MORE)
+			on_read_result(conn, result);
+	}
+}
+
+static void on_readable(struct bufferevent *bev, void *arg)
+{
+	struct net_connection *conn = arg;
+
+	if (conn->state == CONNECTION_READING)
+		read_more(conn);
+	else if (conn->state != CONNECTION_BUSY)
+		evbuffer_drain(bufferevent_get_input(bev),
+			       evbuffer_get_length(bufferevent_get_input(bev)));
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	struct net_connection *conn = arg;
+	struct net_request_owner *owner = conn->request.owner;
+
+	(void)bev;
+	if (conn->state == CONNECTION_CLOSING)
+		linger(conn);
+	else if (conn->state == CONNECTION_BUSY && owner &&
+		 owner->vt->on_drained)
+		owner->vt->on_drained(owner);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct net_connection *conn = arg;
+
+	(void)bev;
+	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+		return;
+	/* The caller closed its half; our last answer may still leave. */
+	if (conn->state == CONNECTION_CLOSING && what & BEV_EVENT_EOF &&
+	    !(what & BEV_EVENT_ERROR)) {
+		bufferevent_disable(conn->bev, EV_READ);
+		return;
+	}
+	drop_connection(conn);
+}
+
+static void set_socket_options(evutil_socket_t fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int addr_len, void *arg)
+{
+	struct net_server *server = arg;
+	struct net_connection *conn;
+
+	(void)listener;
+	(void)addr;
+	(void)addr_len;
+	server->accepted++;
+	if (server->connection_count >= server->limits.max_connections) {
+		evutil_closesocket(fd);
+		return;
+	}
+	set_socket_options(fd);
+	conn = xcalloc(1, sizeof(*conn));
+	conn->server = server;
+	conn->request.connection = conn;
+	strbuf_init(&conn->request.body);
+	http_reader_init(&conn->reader, &reader_vtable, 0,
+			 server->limits.max_head_bytes);
+	conn->bev = bufferevent_socket_new(server->reactor->events, fd,
+					   BEV_OPT_CLOSE_ON_FREE);
+	if (!conn->bev)
+		BUG("no memory for a connection");
+	conn->next = server->connections;
+	conn->link = &server->connections;
+	if (conn->next)
+		conn->next->link = &conn->next;
+	server->connections = conn;
+	server->connection_count++;
+	bufferevent_setcb(conn->bev, on_readable, on_written, on_event, conn);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, AHEAD_BYTES);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+	set_timeout(conn, server->limits.idle_timeout_ns);
+}
+
+int net_server_init(struct net_server *server, struct reactor *reactor,
+		    const char *address, const struct net_limits *limits,
+		    struct net_handler *handler, struct error *err)
+{
+	struct sockaddr_in addr;
+
+	memset(server, 0, sizeof(*server));
+	server->reactor = reactor;
+	server->limits = *limits;
+	server->handler = handler;
+	if (net_address_parse(address, &addr))
+		return error_set(err, ERROR_INVALID,
+				 "address '%s' is not ip:port", address);
+	server->listener = evconnlistener_new_bind(
+		reactor->events, on_accept, server,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, LISTEN_BACKLOG,
+		(struct sockaddr *)&addr, sizeof(addr));
+	if (!server->listener)
+		return error_set(err, ERROR_IO, "cannot listen on '%s'",
+				 address);
+	return 0;
+}
+
+void net_server_finish(struct net_server *server)
+{
+	struct net_connection *conn = server->connections;
+
+	if (server->listener)
+		evconnlistener_free(server->listener);
+	server->listener = NULL;
+	while (conn) {
+		struct net_connection *next = conn->next;
+
+		drop_connection(conn);
+		conn = next;
+	}
+}
+
+uint16_t net_server_port(const struct net_server *server)
+{
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+
+	memset(&addr, 0, sizeof(addr));
+	getsockname(evconnlistener_get_fd(server->listener),
+		    (struct sockaddr *)&addr, &len);
+	return ntohs(addr.sin_port);
+}
+
+void net_server_drain(struct net_server *server)
+{
+	server->draining = 1;
+}
+
+void net_server_close_idle(struct net_server *server)
+{
+	struct net_connection *conn = server->connections;
+
+	if (server->listener)
+		evconnlistener_free(server->listener);
+	server->listener = NULL;
+	while (conn) {
+		struct net_connection *next = conn->next;
+
+		if (conn->state == CONNECTION_READING && !conn->reader.began)
+			free_connection(conn);
+		conn = next;
+	}
+}
--- /dev/null
+++ b/net/net_server.h
@@ -0,0 +1,133 @@
+#ifndef NET_NET_SERVER_H
+#define NET_NET_SERVER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "net/http_reader.h"
+#include "net/reactor.h"
+
+/*
+ * The HTTP/1.1 side towards callers, on a reactor. A request is handed over
+ * once it is whole; its owner answers it now or later and is told when the
+ * caller goes away meanwhile. A connection serves one request at a time;
+ * bytes behind it wait. The limits may change at any time.
+ */
+struct net_limits {
+	uint32_t max_head_bytes;
+	uint64_t max_body_bytes;
+	uint64_t max_held_bytes; /* of all bodies together */
+	uint32_t max_connections;
+	int64_t head_timeout_ns; /* from the first byte of a head to its last */
+	int64_t idle_timeout_ns; /* of a kept connection, and for a body */
+};
+
+struct net_request;
+struct net_connection;
+
+/* Who answers a request. */
+struct net_request_owner;
+
+struct net_request_owner_vtable {
+	/* The caller is gone; the request must not be used any more. */
+	void (*on_gone)(struct net_request_owner *owner);
+	/* What was streamed has left this process; may be NULL. */
+	void (*on_drained)(struct net_request_owner *owner);
+};
+
+struct net_request_owner {
+	const struct net_request_owner_vtable *vt;
+};
+
+struct net_request {
+	const struct http_head *head;
+	struct strbuf body;
+	int64_t began_ns; /* its first byte was read */
+	int64_t whole_ns; /* its last byte was read */
+	struct net_connection *connection;
+	struct net_request_owner *owner;
+};
+
+struct net_handler;
+
+struct net_handler_vtable {
+	/* Answers the request, or sets its owner and answers later. */
+	void (*on_request)(struct net_handler *handler,
+			   struct net_request *request);
+	/*
+	 * A request was refused while it was read: malformed, too large or
+	 * too slow. May be NULL.
+	 */
+	void (*on_refused)(struct net_handler *handler,
+			   const struct http_head *head, uint16_t status,
+			   const char *reason);
+};
+
+struct net_handler {
+	const struct net_handler_vtable *vt;
+};
+
+struct net_server {
+	struct reactor *reactor;
+	struct net_handler *handler;
+	struct net_limits limits;
+	struct evconnlistener *listener;
+	struct net_connection *connections;
+	uint32_t connection_count;
+	uint32_t busy_count; /* with a request that is not answered */
+	uint64_t held_bytes;
+	uint64_t accepted; /* connections, since the start */
+	int draining; /* connections end after their answer */
+};
+
+/* `address` is ip:port; port 0 takes a free one. */
+int net_server_init(struct net_server *server, struct reactor *reactor,
+		    const char *address, const struct net_limits *limits,
+		    struct net_handler *handler, struct error *err);
+
+/* Cuts what is left. */
+void net_server_finish(struct net_server *server);
+
+/* The port that is listened on. */
+uint16_t net_server_port(const struct net_server *server);
+
+/* From now on connections end after their answer; idle ones stay open. */
+void net_server_drain(struct net_server *server);
+
+/* Closes the port and the connections without a request. */
+void net_server_close_idle(struct net_server *server);
+
+/* One whole answer. */
+struct net_answer {
+	uint16_t status;
+	const char *fields; /* "Name: value\r\n" each; NULL: none */
+	const void *body;
+	size_t body_len;
+	int close; /* end the connection after it */
+};
+
+/* The request must not be used after it. */
+void net_request_answer(struct net_request *request,
+			const struct net_answer *answer);
+
+/*
+ * An answer in parts: of `body_len` bytes, or in chunks if that is negative.
+ * It ends with net_request_end(); net_request_abort() closes the connection
+ * so that nobody takes it for a whole one.
+ */
+void net_request_begin(struct net_request *request, uint16_t status,
+		       const char *fields, int64_t body_len);
+void net_request_write(struct net_request *request, const void *data,
+		       size_t len);
+void net_request_end(struct net_request *request);
+void net_request_abort(struct net_request *request);
+
+/* Bytes written that have not left this process. */
+size_t net_request_unsent_bytes(const struct net_request *request);
+
+/* The caller's address as ip:port, into `out` of at least 32 bytes. */
+void net_request_peer(const struct net_request *request, char *out,
+		      size_t size);
+
+#endif
