--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 CC = gcc
 CXX = g++
 PKGS = liburcu-bp jansson libprotobuf-c libxxhash libcurl libssl libcrypto \
-       libevent_core
+       libevent_core nettle
+ENTRY_PKGS = jansson libprotobuf-c libxxhash libevent_core nettle
 SAN =
 BUILD = build$(if $(SAN),/$(SAN))
 OPT = -O2 -g
@@ -33,13 +34,22 @@
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra $(WERROR) $(SANFLAGS)
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcivetweb -lhttp_parser \
        -lpthread -lm
+ENTRY_LIBS = $(shell pkg-config --libs $(ENTRY_PKGS) 2>/dev/null) \
+	     -lhttp_parser -lurcu-bp -lpthread -lm
 
 LIB_DIRS = base proto settings state lang port client lease peer membership \
 	   backend policy request sample usage orders weights blame \
-	   timeline http app net
+	   timeline http app net store fleet discovery forward batch duty \
+	   entry platform
+# What the daemon of an entry host needs; its hosts have few packages.
+ENTRY_DIRS = base proto port net policy store fleet discovery forward batch \
+	     duty entry platform
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libcurrantrelay.a
+ENTRY_SRC = $(foreach d,$(ENTRY_DIRS),$(wildcard $(d)/*.c))
+ENTRY_OBJ = $(ENTRY_SRC:%.c=$(BUILD)/%.o)
+ENTRY_LIB = $(BUILD)/libcurrantentry.a
 CLIENT_SRC = $(wildcard currant.c) $(wildcard builtin/*.c)
 CLIENT_OBJ = $(CLIENT_SRC:%.c=$(BUILD)/%.o)
 STANDIN_SRC = $(wildcard standin/*.c)
@@ -50,6 +60,7 @@
 TEST_BIN = $(TEST_SRC:t/%.cc=$(BUILD)/t/%)
 T_SUPPORT = $(patsubst %.cc,$(BUILD)/%.o,$(wildcard t/lib-*.cc))
 PROGRAMS = $(if $(wildcard currantd.c),$(BUILD)/currantd) \
+	   $(BUILD)/currant-entryd \
 	   $(if $(wildcard currant.c),$(BUILD)/currant) \
 	   $(if $(STANDIN_SRC),$(BUILD)/currant-standin)
 OWN_C = $(filter-out proto/%,$(LIB_SRC)) $(CLIENT_SRC) $(wildcard currant*d.c) \
@@ -74,6 +85,14 @@
 	@echo LINK $@
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(ENTRY_LIB): $(ENTRY_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/currant-entryd: $(BUILD)/currant-entryd.o $(ENTRY_LIB)
+	@echo LINK $@
+	@$(CC) $(CFLAGS) -o $@ $^ $(ENTRY_LIBS)
+
 $(BUILD)/currant: $(CLIENT_OBJ) $(LIB)
 	@echo LINK $@
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
--- /dev/null
+++ b/discovery/discovery.c
@@ -0,0 +1,251 @@
+#include "discovery/discovery.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "proto/topic.pb-c.h"
+
+#define HOST_TOPIC "keyed.hosts"
+#define NOTICE_PERIOD_NS (1 * NS_PER_S)
+#define WATCH_NS (1500 * NS_PER_MS)
+#define TIMEOUT_NS (600 * NS_PER_MS)
+/* All hosts write within a period; the pause bounds each one's reads. */
+#define PAUSE_NS (400 * NS_PER_MS)
+
+static struct discovery *discovery_of(struct keyed_follower *follower)
+{
+	return (struct discovery *)follower;
+}
+
+static int64_t now_ns(const struct discovery *discovery)
+{
+	return clock_now_ns(discovery->follower.clock);
+}
+
+static uint64_t partition_bits(const Currant__Topic__HostNotice *notice)
+{
+	uint64_t bits = 0;
+
+	for (size_t i = 0; i < notice->n_partitions; i++)
+		if (notice->partitions[i] < HOST_PARTITIONS_MAX)
+			bits |= UINT64_C(1) << notice->partitions[i];
+	return bits;
+}
+
+static int read_notice(const Currant__Topic__HostNotice *notice,
+		       struct entry_host *host)
+{
+	memset(host, 0, sizeof(*host));
+	host->incarnation = notice->incarnation;
+	host->ready = notice->ready;
+	host->leaving = notice->leaving;
+	host->partitions = partition_bits(notice);
+	host->cpu_milli = notice->cpu_milli;
+	host->period_ms = notice->period_ms;
+	return copy_text(host->name, sizeof(host->name), notice->name) ||
+	       copy_text(host->data_centre, sizeof(host->data_centre),
+			 notice->data_centre) ||
+	       copy_text(host->region, sizeof(host->region), notice->region) ||
+	       copy_text(host->caller_address, sizeof(host->caller_address),
+			 notice->caller_address);
+}
+
+static void report(struct discovery *discovery, const char *event,
+		   const struct entry_host *host)
+{
+	struct record record;
+
+	record_begin(&record, discovery->log, "hosts", event);
+	record_text(&record, "name", host->name);
+	record_text(&record, "data_centre", host->data_centre);
+	record_text(&record, "address", host->caller_address);
+	record_int(&record, "ready", host->ready);
+	record_int(&record, "leaving", host->leaving);
+	record_int(&record, "offset", (int64_t)host->offset);
+	record_end(&record);
+}
+
+static void on_put(struct keyed_follower *follower, const char *key,
+		   const void *value, size_t len, uint64_t offset)
+{
+	struct discovery *discovery = discovery_of(follower);
+	Currant__Topic__HostNotice *notice =
+		currant__topic__host_notice__unpack(NULL, len, value);
+	const struct entry_host *known =
+		host_table_find(&discovery->hosts, key);
+	struct entry_host host;
+	int is_news;
+
+	if (!notice)
+		return;
+	if (!read_notice(notice, &host)) {
+		host.offset = offset;
+		is_news = !known || known->incarnation != host.incarnation ||
+			  known->ready != host.ready ||
+			  known->leaving != host.leaving;
+		host_table_put(&discovery->hosts, &host, now_ns(discovery));
+		if (is_news)
+			report(discovery, "notice", &host);
+	}
+	currant__topic__host_notice__free_unpacked(notice, NULL);
+}
+
+static void on_drop(struct keyed_follower *follower, const char *key,
+		    uint64_t offset)
+{
+	host_table_drop(&discovery_of(follower)->hosts, key, offset);
+}
+
+static void on_regained(struct keyed_follower *follower, int64_t away_ns)
+{
+	host_table_excuse(&discovery_of(follower)->hosts, away_ns);
+}
+
+static const struct keyed_follower_vtable follower_vtable = {
+	.put = on_put,
+	.drop = on_drop,
+	.regained = on_regained,
+};
+
+static void pack_notice(const struct entry_host *own, struct strbuf *out)
+{
+	Currant__Topic__HostNotice notice = CURRANT__TOPIC__HOST_NOTICE__INIT;
+	uint32_t partitions[HOST_PARTITIONS_MAX];
+
+	notice.name = (char *)own->name;
+	notice.data_centre = (char *)own->data_centre;
+	notice.region = (char *)own->region;
+	notice.caller_address = (char *)own->caller_address;
+	notice.incarnation = own->incarnation;
+	notice.ready = own->ready;
+	notice.leaving = own->leaving;
+	notice.cpu_milli = own->cpu_milli;
+	notice.period_ms = own->period_ms;
+	notice.partitions = partitions;
+	for (uint32_t i = 0; i < HOST_PARTITIONS_MAX; i++)
+		if (own->partitions >> i & 1)
+			partitions[notice.n_partitions++] = i;
+	strbuf_grow(out, currant__topic__host_notice__get_packed_size(&notice));
+	out->len =
+		currant__topic__host_notice__pack(&notice, (uint8_t *)out->buf);
+}
+
+static void write_notice(struct discovery *discovery);
+
+static void on_written(struct topic_write *write,
+		       enum topic_write_outcome outcome)
+{
+	struct discovery *discovery = write->arg;
+
+	(void)outcome; /* the next notice makes up for a lost one */
+	discovery->pending = NULL;
+	strbuf_finish(&write->records);
+	free(write);
+	if (discovery->stale)
+		write_notice(discovery);
+}
+
+static void write_notice(struct discovery *discovery)
+{
+	struct topic_write *write;
+	struct strbuf value;
+
+	discovery->stale = discovery->pending != NULL;
+	if (discovery->pending)
+		return;
+	write = xcalloc(1, sizeof(*write));
+	strbuf_init(&value);
+	pack_notice(&discovery->own, &value);
+	strbuf_init(&write->records);
+	topic_add_keyed(&write->records, discovery->own.name, value.buf,
+			value.len);
+	strbuf_finish(&value);
+	write->record_count = 1;
+	write->done = on_written;
+	write->arg = discovery;
+	discovery->pending = write;
+	topic_writer_add(&discovery->writer, write);
+}
+
+static void on_timer(void *arg, int64_t at_ns)
+{
+	struct discovery *discovery = arg;
+
+	host_table_sweep(&discovery->hosts, at_ns);
+	if (!discovery->pending)
+		write_notice(discovery);
+}
+
+void discovery_init(struct discovery *discovery, struct topic_log *log,
+		    struct timer_service *timers, const struct entry_host *own,
+		    struct record_log *records, struct counter_set *counters)
+{
+	struct keyed_follower_settings settings = {
+		.topic = HOST_TOPIC,
+		.pause_ns = PAUSE_NS,
+		.watch_ns = WATCH_NS,
+		.timeout_ns = TIMEOUT_NS,
+	};
+	char writer[TOPIC_NAME_BYTES];
+
+	memset(discovery, 0, sizeof(*discovery));
+	keyed_follower_init(&discovery->follower, &follower_vtable, log, timers,
+			    &settings, counters);
+	host_table_init(&discovery->hosts);
+	discovery->own = *own;
+	discovery->own.period_ms = NOTICE_PERIOD_NS / NS_PER_MS;
+	discovery->log = records;
+	snprintf(writer, sizeof(writer), "%.40s-%016" PRIx64, own->name,
+		 own->incarnation);
+	topic_writer_init(&discovery->writer, log, timers, HOST_TOPIC, 0,
+			  writer, counters);
+}
+
+void discovery_finish(struct discovery *discovery)
+{
+	timer_unsubscribe(discovery->follower.timers, &discovery->timer);
+	keyed_follower_finish(&discovery->follower);
+	topic_writer_finish(&discovery->writer);
+	if (discovery->pending)
+		strbuf_finish(&discovery->pending->records);
+	free(discovery->pending);
+	host_table_finish(&discovery->hosts);
+}
+
+void discovery_start(struct discovery *discovery)
+{
+	keyed_follower_start(&discovery->follower);
+	write_notice(discovery);
+	timer_subscribe(discovery->follower.timers, &discovery->timer,
+			NOTICE_PERIOD_NS, on_timer, discovery);
+}
+
+void discovery_set_ready(struct discovery *discovery, int ready)
+{
+	if (discovery->own.ready == ready)
+		return;
+	discovery->own.ready = ready;
+	write_notice(discovery);
+}
+
+void discovery_set_leaving(struct discovery *discovery)
+{
+	discovery->own.leaving = 1;
+	write_notice(discovery);
+}
+
+void discovery_set_partitions(struct discovery *discovery, uint64_t partitions)
+{
+	if (discovery->own.partitions == partitions)
+		return;
+	discovery->own.partitions = partitions;
+	write_notice(discovery);
+}
+
+int discovery_is_listed(const struct discovery *discovery)
+{
+	return discovery->follower.is_listed;
+}
--- /dev/null
+++ b/discovery/discovery.h
@@ -0,0 +1,39 @@
+#ifndef DISCOVERY_DISCOVERY_H
+#define DISCOVERY_DISCOVERY_H
+
+#include "base/record_log.h"
+#include "discovery/host_table.h"
+#include "store/keyed_follower.h"
+#include "store/topic_writer.h"
+
+/*
+ * How entry daemons find each other: each writes a notice of itself to a
+ * topic of the platform's store, again and again, and reads those of the
+ * others. No daemon connects to another.
+ */
+struct discovery {
+	struct keyed_follower follower;
+	struct host_table hosts;
+	struct topic_writer writer;
+	struct topic_write *pending; /* a notice that is being written */
+	struct entry_host own;
+	struct timer timer;
+	struct record_log *log;
+	int stale; /* the own state changed while one was written */
+};
+
+void discovery_init(struct discovery *discovery, struct topic_log *log,
+		    struct timer_service *timers, const struct entry_host *own,
+		    struct record_log *records, struct counter_set *counters);
+void discovery_finish(struct discovery *discovery);
+void discovery_start(struct discovery *discovery);
+
+/* The own state has changed: writes a notice at once. */
+void discovery_set_ready(struct discovery *discovery, int ready);
+void discovery_set_leaving(struct discovery *discovery);
+void discovery_set_partitions(struct discovery *discovery, uint64_t partitions);
+
+/* Whether the notices of the others were read at least once. */
+int discovery_is_listed(const struct discovery *discovery);
+
+#endif
--- /dev/null
+++ b/entry/caller_port.h
@@ -0,0 +1,45 @@
+#ifndef ENTRY_CALLER_PORT_H
+#define ENTRY_CALLER_PORT_H
+
+#include "entry/config_holder.h"
+#include "forward/forward.h"
+#include "net/net_server.h"
+#include "platform/calls.h"
+
+/*
+ * The port for callers: reads what a request asks for, checks its key and its
+ * route, and hands it to whoever answers it.
+ */
+struct batch_port;
+
+struct batch_port_vtable {
+	void (*submit)(struct batch_port *port, struct net_request *request,
+		       const struct caller_request *caller,
+		       const struct entry_route *route,
+		       const struct entry_team *team);
+	void (*call)(struct batch_port *port, struct net_request *request,
+		     const struct caller_request *caller,
+		     const struct caller_call *call,
+		     const struct entry_team *team);
+};
+
+/* Who answers calls about batches. */
+struct batch_port {
+	const struct batch_port_vtable *vt;
+};
+
+struct caller_port {
+	struct net_handler handler;
+	struct config_holder *config;
+	struct forwarder *forwarder;
+	struct batch_port *batches;
+	struct record_log *log;
+	struct counter *denied;
+	struct counter *malformed;
+};
+
+void caller_port_init(struct caller_port *port, struct config_holder *config,
+		      struct forwarder *forwarder, struct batch_port *batches,
+		      struct record_log *log, struct counter_set *counters);
+
+#endif
--- /dev/null
+++ b/entry/caller_request.h
@@ -0,0 +1,64 @@
+#ifndef ENTRY_CALLER_REQUEST_H
+#define ENTRY_CALLER_REQUEST_H
+
+#include <stdint.h>
+
+#include "net/http_head.h"
+
+/*
+ * What the fields of a caller's request say. Texts point into the request's
+ * head.
+ */
+#define REQUEST_PARTS_MAX 16
+
+/* A part of the prompt, which other requests may share. */
+struct prompt_part {
+	uint64_t id;
+	uint32_t tokens;
+};
+
+struct caller_request {
+	const char *id; /* of this try of the caller; NULL: none */
+	const char *host;
+	const char *secret; /* key; NULL: none */
+	int64_t time_left_ms; /* as the caller sent it; -1: none */
+	int64_t wait_ms; /* a read may be held this long; 0: not */
+
+	/* Requests that carry tokens. */
+	const char *model; /* NULL: none */
+	uint32_t prompt_tokens;
+	uint32_t max_output_tokens;
+	uint32_t length_hint; /* output tokens that are expected; 0: none */
+	struct prompt_part parts[REQUEST_PARTS_MAX];
+	uint32_t part_count;
+	int64_t last_event_id; /* a stream goes on behind it; -1: none */
+};
+
+/* What an answer of a backend server says beside its body. */
+struct server_answer {
+	uint16_t status;
+	int not_run; /* the server says that it did not run the request */
+	int other_server; /* another one has this address now */
+	int other_version; /* its weights have another version */
+	int other_request; /* the answer belongs to another request */
+	int has_receipt; /* without it, a success does not count */
+	int closing; /* the server may be leaving */
+	int has_load;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	uint64_t weight_version; /* 0: not said */
+};
+
+/* What this system adds to a request that it passes on. */
+struct server_request {
+	int64_t time_left_ms; /* -1: not said */
+	const char
+		*server_id; /* another server refuses it; NULL: any may run */
+	const char *team; /* NULL: none */
+	int32_t priority; /* 0 is the most urgent, to 9; -1: not said */
+	uint64_t expected_version; /* of the weights; 0: any */
+	int64_t last_event_id; /* -1: as the caller sent it */
+};
+
+#endif
--- /dev/null
+++ b/entry/config_holder.c
@@ -0,0 +1,48 @@
+#include "entry/config_holder.h"
+
+#include <string.h>
+
+void config_holder_init(struct config_holder *holder, struct record_log *log)
+{
+	memset(holder, 0, sizeof(*holder));
+	holder->log = log;
+}
+
+void config_holder_finish(struct config_holder *holder)
+{
+	entry_config_release(holder->current);
+	holder->current = NULL;
+}
+
+static void report(struct config_holder *holder, const char *event,
+		   const struct entry_config *config)
+{
+	const struct entry_config *current = holder->current;
+	struct record record;
+
+	record_begin(&record, holder->log, "config", event);
+	record_int(&record, "version", (int64_t)config->version);
+	record_int(&record, "before", current ? (int64_t)current->version : -1);
+	record_int(&record, "routes", config->route_count);
+	record_int(&record, "teams", config->team_count);
+	record_int(&record, "keys", config->key_count);
+	record_end(&record);
+}
+
+int config_holder_take(struct config_holder *holder,
+		       struct entry_config *config, int64_t now_ns)
+{
+	if (holder->current && config->version <= holder->current->version) {
+		if (config->version < holder->current->version)
+			report(holder, "older_ignored", config);
+		entry_config_release(config);
+		return 0;
+	}
+	report(holder, "in_force", config);
+	entry_config_release(holder->current);
+	holder->current = config;
+	holder->taken_ns = now_ns;
+	if (holder->changed)
+		holder->changed(holder->arg, config);
+	return 1;
+}
--- /dev/null
+++ b/entry/entry_config.c
@@ -0,0 +1,215 @@
+#include "entry/entry_config.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/hash.h"
+
+#define HOST_BYTES 256
+
+const char *request_kind_name(enum request_kind kind)
+{
+	static const char *const names[] = { "idempotent", "once", "stream",
+					     "resumable", "batch" };
+
+	return names[kind];
+}
+
+struct entry_config *entry_config_new(void)
+{
+	struct entry_config *config = xcalloc(1, sizeof(*config));
+
+	config->references = 1;
+	return config;
+}
+
+static void free_texts(char **texts, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		free(texts[i]);
+	free(texts);
+}
+
+static void free_route(struct entry_route *route)
+{
+	free(route->name);
+	free(route->host);
+	free(route->path_prefix);
+	for (uint32_t i = 0; i < route->target_count; i++)
+		free(route->targets[i].service);
+	free(route->targets);
+}
+
+static void free_service(struct entry_service *service)
+{
+	free(service->name);
+	free_texts(service->models, service->model_count);
+	free_texts(service->scaling.data_centres,
+		   service->scaling.data_centre_count);
+	free(service->scaling.prices);
+}
+
+static void free_config(struct entry_config *config)
+{
+	for (uint32_t i = 0; i < config->route_count; i++)
+		free_route(&config->routes[i]);
+	for (uint32_t i = 0; i < config->service_count; i++)
+		free_service(&config->services[i]);
+	for (uint32_t i = 0; i < config->team_count; i++)
+		free(config->teams[i].name);
+	for (uint32_t i = 0; i < config->key_count; i++)
+		free(config->keys[i].secret);
+	free(config->routes);
+	free(config->services);
+	free(config->teams);
+	free(config->keys);
+	free(config->route_buckets);
+	free(config->key_buckets);
+	free(config);
+}
+
+struct entry_config *entry_config_hold(struct entry_config *config)
+{
+	config->references++;
+	return config;
+}
+
+void entry_config_release(struct entry_config *config)
+{
+	if (config && !--config->references)
+		free_config(config);
+}
+
+static uint32_t route_bucket(const struct entry_config *config,
+			     uint64_t host_hash, const char *prefix, size_t len)
+{
+	return (uint32_t)hash_bytes(prefix, len, host_hash) &
+	       (config->bucket_count - 1);
+}
+
+void entry_config_index(struct entry_config *config)
+{
+	uint32_t need = 2 * (config->route_count > config->key_count
+				     ? config->route_count
+				     : config->key_count);
+
+	config->bucket_count = 16;
+	while (config->bucket_count < need)
+		config->bucket_count *= 2;
+	config->route_buckets =
+		xcalloc(config->bucket_count, sizeof(*config->route_buckets));
+	config->key_buckets =
+		xcalloc(config->bucket_count, sizeof(*config->key_buckets));
+	for (uint32_t i = 0; i < config->route_count; i++) {
+		struct entry_route *route = &config->routes[i];
+		uint32_t bucket = route_bucket(
+			config, hash_text(route->host, 0), route->path_prefix,
+			strlen(route->path_prefix));
+
+		route->next = config->route_buckets[bucket];
+		config->route_buckets[bucket] = i + 1;
+	}
+	for (uint32_t i = 0; i < config->key_count; i++) {
+		struct entry_key *key = &config->keys[i];
+		uint32_t bucket = (uint32_t)hash_text(key->secret, 0) &
+				  (config->bucket_count - 1);
+
+		key->next = config->key_buckets[bucket];
+		config->key_buckets[bucket] = i + 1;
+	}
+}
+
+/* A host is compared without its port, in lower case. */
+static void normalize_host(char *out, const char *host)
+{
+	size_t len = strcspn(host, ":");
+
+	if (len >= HOST_BYTES)
+		len = 0;
+	for (size_t i = 0; i < len; i++)
+		out[i] = (char)tolower((unsigned char)host[i]);
+	out[len] = '\0';
+}
+
+static const struct entry_route *find_route(const struct entry_config *config,
+					    const char *host,
+					    uint64_t host_hash,
+					    const char *prefix, size_t len)
+{
+	uint32_t at = config->route_buckets[route_bucket(config, host_hash,
+							 prefix, len)];
+
+	for (; at; at = config->routes[at - 1].next) {
+		const struct entry_route *route = &config->routes[at - 1];
+
+		if (!strcmp(route->host, host) &&
+		    !strncmp(route->path_prefix, prefix, len) &&
+		    !route->path_prefix[len])
+			return route;
+	}
+	return NULL;
+}
+
+const struct entry_route *entry_config_route(const struct entry_config *config,
+					     const char *host,
+					     const char *target)
+{
+	char normal[HOST_BYTES];
+	uint64_t host_hash;
+	size_t len = strcspn(target, "?#");
+
+	normalize_host(normal, host);
+	host_hash = hash_text(normal, 0);
+	for (; len; len--) {
+		const struct entry_route *route;
+
+		if (target[len - 1] != '/')
+			continue;
+		route = find_route(config, normal, host_hash, target, len);
+		if (route)
+			return route;
+	}
+	return NULL;
+}
+
+const struct entry_team *entry_config_team(const struct entry_config *config,
+					   const char *secret)
+{
+	uint32_t at;
+
+	if (!config->bucket_count)
+		return NULL;
+	at = config->key_buckets[(uint32_t)hash_text(secret, 0) &
+				 (config->bucket_count - 1)];
+	for (; at; at = config->keys[at - 1].next)
+		if (!strcmp(config->keys[at - 1].secret, secret))
+			return &config->teams[config->keys[at - 1].team];
+	return NULL;
+}
+
+const struct entry_service *
+entry_config_service(const struct entry_config *config, const char *name)
+{
+	for (uint32_t i = 0; i < config->service_count; i++)
+		if (!strcmp(config->services[i].name, name))
+			return &config->services[i];
+	return NULL;
+}
+
+const char *entry_route_service(const struct entry_route *route, double random)
+{
+	uint64_t total = 0;
+	uint64_t point;
+
+	for (uint32_t i = 0; i < route->target_count; i++)
+		total += route->targets[i].weight;
+	point = (uint64_t)(random * (double)total);
+	for (uint32_t i = 0; i < route->target_count; i++) {
+		if (point < route->targets[i].weight)
+			return route->targets[i].service;
+		point -= route->targets[i].weight;
+	}
+	return route->target_count ? route->targets[0].service : NULL;
+}
--- /dev/null
+++ b/entry/entry_daemon.c
@@ -0,0 +1,419 @@
+#include "entry/entry_daemon.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "base/alloc.h"
+#include "entry/answers.h"
+#include "platform/settings_decode.h"
+
+#define UPKEEP_PERIOD_NS (500 * NS_PER_MS)
+/* A backend server or the store is one or two milliseconds away. */
+#define CONNECT_TIMEOUT_NS (250 * NS_PER_MS)
+/* Where the other side does not say how long it keeps a connection. */
+#define IDLE_MAX_NS (10 * NS_PER_S)
+#define USER_TIMEOUT_MS 2000
+#define SERVER_HEAD_BYTES 65536
+/* Part of the host's memory that requests' bodies may take. */
+#define BODIES_DENOMINATOR 4
+/* Descriptors kept for files, the store and backend servers. */
+#define KEPT_DESCRIPTORS 1000
+/* Small ports need few connections. */
+#define SERVICE_CONNECTIONS 256
+#define SERVICE_IDLE_NS (10 * NS_PER_S)
+/* Callers keep an answer with addresses up to three times as long. */
+#define ADDRESS_KEEP_MS 1000
+/* The end of a graceful stop: idle connections close, then the rest. */
+#define STOP_IDLE_MS 1200
+#define STOP_LAST_MS 500
+#define STOP_POLL_NS (50 * NS_PER_MS)
+
+static int64_t now_ns(struct entry_daemon *daemon)
+{
+	return reactor_now_ns(&daemon->reactor);
+}
+
+static void report_life(struct entry_daemon *daemon, const char *event,
+			const char *reason)
+{
+	struct record record;
+
+	record_begin_essential(&record, &daemon->log, "daemon", event);
+	record_text(&record, "data_centre", daemon->settings.data_centre);
+	record_int(&record, "incarnation", (int64_t)(daemon->incarnation >> 1));
+	record_int(&record, "config",
+		   daemon->config.current
+			   ? (int64_t)daemon->config.current->version
+			   : -1);
+	record_int(&record, "running", daemon->forwarder.running);
+	record_text(&record, "reason", reason);
+	record_end(&record);
+}
+
+static struct net_limits caller_limits(const struct entry_daemon *daemon,
+				       const struct caller_limits *limits)
+{
+	const struct entry_settings *settings = &daemon->settings;
+	uint32_t descriptors =
+		settings->descriptors > 2 * KEPT_DESCRIPTORS
+			? settings->descriptors - KEPT_DESCRIPTORS
+			: settings->descriptors / 2;
+	struct net_limits out = {
+		.max_head_bytes = limits->max_head_bytes,
+		.max_body_bytes = limits->max_body_bytes,
+		.max_held_bytes = settings->memory_bytes / BODIES_DENOMINATOR,
+		.max_connections = descriptors,
+		.head_timeout_ns = limits->head_timeout_ms * NS_PER_MS,
+		.idle_timeout_ns = limits->idle_timeout_ms * NS_PER_MS,
+	};
+
+	return out;
+}
+
+static void on_config(void *arg, const struct entry_config *config)
+{
+	struct entry_daemon *daemon = arg;
+
+	daemon->callers.limits = caller_limits(daemon, &config->limits);
+}
+
+static void update_ready(struct entry_daemon *daemon)
+{
+	int ready = daemon->config.current &&
+		    daemon->server_feed.follower.is_listed &&
+		    discovery_is_listed(&daemon->discovery) && !daemon->leaving;
+
+	if (ready == daemon->is_ready)
+		return;
+	daemon->is_ready = ready;
+	daemon->service_port.ready = ready;
+	discovery_set_ready(&daemon->discovery, ready);
+	report_life(daemon, ready ? "ready" : "not_ready", NULL);
+}
+
+static int64_t file_mtime_ns(const char *path)
+{
+	struct stat info;
+
+	if (stat(path, &info))
+		return 0;
+	return info.st_mtim.tv_sec * NS_PER_S + info.st_mtim.tv_nsec;
+}
+
+/* What may change while the daemon runs: where the platform is, bounds. */
+static void reload(struct entry_daemon *daemon, const char *reason)
+{
+	struct entry_settings settings;
+	struct error err = ERROR_INIT;
+
+	daemon->settings_mtime_ns = file_mtime_ns(daemon->settings_path);
+	if (platform_settings_read_file(daemon->settings_path, &settings,
+					&err)) {
+		report_life(daemon, "reload_failed", err.text);
+		return;
+	}
+	daemon->settings = settings;
+	copy_text(daemon->store.address, sizeof(daemon->store.address),
+		  settings.store);
+	report_life(daemon, "reloaded", reason);
+}
+
+static void on_upkeep(void *arg, int64_t at_ns)
+{
+	struct entry_daemon *daemon = arg;
+
+	(void)at_ns;
+	update_ready(daemon);
+	if (file_mtime_ns(daemon->settings_path) != daemon->settings_mtime_ns)
+		reload(daemon, "file_changed");
+}
+
+static void on_hangup(void *arg)
+{
+	reload(arg, "signal");
+}
+
+static int is_quiet(const struct entry_daemon *daemon)
+{
+	return !daemon->callers.busy_count;
+}
+
+static void on_stop_step(void *arg, int64_t at_ns)
+{
+	struct entry_daemon *daemon = arg;
+	int64_t left_ms = daemon->settings.grace_ms -
+			  (at_ns - daemon->leaving_since_ns) / NS_PER_MS;
+
+	if (left_ms <= STOP_IDLE_MS)
+		net_server_close_idle(&daemon->callers);
+	if ((left_ms <= STOP_IDLE_MS && is_quiet(daemon)) ||
+	    left_ms <= STOP_LAST_MS) {
+		report_life(daemon, "stopped",
+			    is_quiet(daemon) ? "quiet" : "time_over");
+		reactor_stop(&daemon->reactor);
+		return;
+	}
+	timer_subscribe_once(&daemon->reactor.timers, &daemon->stop,
+			     STOP_POLL_NS, on_stop_step, daemon);
+}
+
+/*
+ * Callers go on using the addresses that they were told, so the daemon serves
+ * until its grace is nearly over, while nobody is told its address any more.
+ */
+static void on_terminate(void *arg)
+{
+	struct entry_daemon *daemon = arg;
+
+	if (daemon->leaving)
+		return;
+	daemon->leaving = 1;
+	daemon->leaving_since_ns = now_ns(daemon);
+	report_life(daemon, "stopping", "signal");
+	update_ready(daemon);
+	discovery_set_leaving(&daemon->discovery);
+	net_server_drain(&daemon->callers);
+	on_stop_step(daemon, daemon->leaving_since_ns);
+}
+
+static int init_signals(struct entry_daemon *daemon, struct error *err)
+{
+	signal(SIGPIPE, SIG_IGN);
+	return reactor_on_signal(&daemon->reactor, SIGTERM, on_terminate,
+				 daemon, &daemon->signals[0], err) ||
+	       reactor_on_signal(&daemon->reactor, SIGINT, on_terminate, daemon,
+				 &daemon->signals[1], err) ||
+	       reactor_on_signal(&daemon->reactor, SIGHUP, on_hangup, daemon,
+				 &daemon->signals[2], err);
+}
+
+static void init_store(struct entry_daemon *daemon)
+{
+	const struct entry_settings *settings = &daemon->settings;
+	struct net_pool_settings pool = {
+		.connect_timeout_ns = CONNECT_TIMEOUT_NS,
+		.idle_max_ns = IDLE_MAX_NS,
+		.user_timeout_ms = USER_TIMEOUT_MS,
+		.max_head_bytes = SERVER_HEAD_BYTES,
+	};
+	struct store_settings store = {
+		.partitions = settings->store_partitions,
+		.max_record_bytes = settings->store_record_bytes,
+		.max_append_bytes = settings->store_append_bytes,
+	};
+
+	copy_text(store.address, sizeof(store.address), settings->store);
+	net_pool_init(&daemon->store_pool, &daemon->reactor, &pool);
+	net_pool_init(&daemon->server_pool, &daemon->reactor, &pool);
+	store_init(&daemon->store, &daemon->reactor, &daemon->store_pool,
+		   &store);
+}
+
+static void on_version(struct operator_feed_listener *listener,
+		       const char *model, uint64_t version)
+{
+	(void)listener;
+	(void)model;
+	(void)version;
+}
+
+static void init_feeds(struct entry_daemon *daemon)
+{
+	const struct entry_settings *settings = &daemon->settings;
+	struct timer_service *timers = &daemon->reactor.timers;
+	struct entry_host own = {
+		.incarnation = daemon->incarnation,
+		.cpu_milli = (uint32_t)(settings->cpu_share * settings->cores *
+					1000),
+	};
+
+	copy_text(own.name, sizeof(own.name), settings->name);
+	copy_text(own.data_centre, sizeof(own.data_centre),
+		  settings->data_centre);
+	copy_text(own.region, sizeof(own.region), settings->region);
+	copy_text(own.caller_address, sizeof(own.caller_address),
+		  settings->callers);
+	daemon->versions.on_version = on_version;
+	operator_feed_init(&daemon->operator_feed, &daemon->store.base, timers,
+			   &daemon->config, &daemon->versions, &daemon->log,
+			   &daemon->counters);
+	server_feed_init(&daemon->server_feed, &daemon->store.base, timers,
+			 &daemon->fleet, &daemon->log, &daemon->counters);
+	discovery_init(&daemon->discovery, &daemon->store.base, timers, &own,
+		       &daemon->log, &daemon->counters);
+}
+
+static void no_batches_yet(struct net_request *request)
+{
+	struct refusal refusal = { .status = 503,
+				   .type = "no_batches",
+				   .detail = "batches are not taken",
+				   .retry_after_ns = NS_PER_S };
+
+	answer_refusal(request, &refusal);
+}
+
+static void no_submit(struct batch_port *port, struct net_request *request,
+		      const struct caller_request *caller,
+		      const struct entry_route *route,
+		      const struct entry_team *team)
+{
+	(void)port;
+	(void)caller;
+	(void)route;
+	(void)team;
+	no_batches_yet(request);
+}
+
+static void no_call(struct batch_port *port, struct net_request *request,
+		    const struct caller_request *caller,
+		    const struct caller_call *call,
+		    const struct entry_team *team)
+{
+	(void)port;
+	(void)caller;
+	(void)call;
+	(void)team;
+	no_batches_yet(request);
+}
+
+static const struct batch_port_vtable no_batches = { no_submit, no_call };
+
+static void init_callers(struct entry_daemon *daemon)
+{
+	const struct entry_settings *settings = &daemon->settings;
+	uint32_t keep_ms = ADDRESS_KEEP_MS;
+
+	if (keep_ms > settings->address_ttl_max_ms)
+		keep_ms = settings->address_ttl_max_ms;
+	forwarder_init(&daemon->forwarder, &daemon->reactor,
+		       &daemon->server_pool, &daemon->fleet, &daemon->config,
+		       &daemon->log, &daemon->counters, settings->data_centre,
+		       daemon->incarnation);
+	daemon->no_batches.vt = &no_batches;
+	caller_port_init(&daemon->caller_port, &daemon->config,
+			 &daemon->forwarder, &daemon->no_batches, &daemon->log,
+			 &daemon->counters);
+	service_port_init(&daemon->service_port, &daemon->discovery,
+			  &daemon->counters, &daemon->reactor.clock, keep_ms,
+			  daemon->incarnation + 1);
+}
+
+static int listen_on(struct entry_daemon *daemon, struct net_server *server,
+		     const char *address, const struct net_limits *limits,
+		     struct net_handler *handler, struct error *err)
+{
+	if (!address[0])
+		return 0;
+	return net_server_init(server, &daemon->reactor, address, limits,
+			       handler, err);
+}
+
+static int init_ports(struct entry_daemon *daemon, struct error *err)
+{
+	const struct entry_settings *settings = &daemon->settings;
+	const struct caller_limits until_known = {
+		.max_head_bytes = 16384,
+		.max_body_bytes = 1024 * 1024,
+		.head_timeout_ms = 3000,
+		.idle_timeout_ms = 10000,
+	};
+	struct net_limits limits = caller_limits(daemon, &until_known);
+	struct net_limits small = {
+		.max_head_bytes = 16384,
+		.max_held_bytes = 65536,
+		.max_connections = SERVICE_CONNECTIONS,
+		.head_timeout_ns = limits.head_timeout_ns,
+		.idle_timeout_ns = SERVICE_IDLE_NS,
+	};
+	struct net_handler *service = &daemon->service_port.handler;
+
+	return listen_on(daemon, &daemon->callers, settings->callers, &limits,
+			 &daemon->caller_port.handler, err) ||
+	       listen_on(daemon, &daemon->ready, settings->ready, &small,
+			 service, err) ||
+	       listen_on(daemon, &daemon->addresses, settings->addresses,
+			 &small, service, err) ||
+	       listen_on(daemon, &daemon->metrics, settings->metrics, &small,
+			 service, err);
+}
+
+static void set_metrics_address(struct entry_settings *settings, uint16_t port)
+{
+	size_t ip_len = strcspn(settings->callers, ":");
+
+	settings->metrics[0] = '\0';
+	if (port)
+		snprintf(settings->metrics, sizeof(settings->metrics),
+			 "%.*s:%u", (int)ip_len, settings->callers, port);
+}
+
+int entry_daemon_init(struct entry_daemon *daemon, const char *settings_path,
+		      uint16_t metrics_port, struct error *err)
+{
+	struct entry_settings settings;
+
+	memset(daemon, 0, sizeof(*daemon));
+	if (platform_settings_read_file(settings_path, &settings, err))
+		return -1;
+	set_metrics_address(&settings, metrics_port);
+	daemon->settings = settings;
+	if (copy_text(daemon->settings_path, sizeof(daemon->settings_path),
+		      settings_path))
+		return error_set(err, ERROR_INVALID,
+				 "the path of the settings is too long");
+	daemon->settings_mtime_ns = file_mtime_ns(settings_path);
+	random_bytes(&daemon->incarnation, sizeof(daemon->incarnation));
+	if (reactor_init(&daemon->reactor, err))
+		return -1;
+	counter_set_init(&daemon->counters);
+	record_log_init(&daemon->log, STDOUT_FILENO, settings.name,
+			&daemon->reactor.timers, &daemon->counters);
+	report_life(daemon, "start", NULL);
+	config_holder_init(&daemon->config, &daemon->log);
+	daemon->config.changed = on_config;
+	daemon->config.arg = daemon;
+	fleet_init(&daemon->fleet);
+	init_store(daemon);
+	init_feeds(daemon);
+	init_callers(daemon);
+	if (init_ports(daemon, err) || init_signals(daemon, err))
+		return -1;
+	operator_feed_start(&daemon->operator_feed);
+	server_feed_start(&daemon->server_feed);
+	discovery_start(&daemon->discovery);
+	timer_subscribe(&daemon->reactor.timers, &daemon->upkeep,
+			UPKEEP_PERIOD_NS, on_upkeep, daemon);
+	return 0;
+}
+
+void entry_daemon_run(struct entry_daemon *daemon)
+{
+	reactor_run(&daemon->reactor);
+}
+
+void entry_daemon_finish(struct entry_daemon *daemon)
+{
+	forwarder_finish(&daemon->forwarder);
+	net_server_finish(&daemon->callers);
+	net_server_finish(&daemon->ready);
+	net_server_finish(&daemon->addresses);
+	net_server_finish(&daemon->metrics);
+	discovery_finish(&daemon->discovery);
+	server_feed_finish(&daemon->server_feed);
+	operator_feed_finish(&daemon->operator_feed);
+	store_finish(&daemon->store);
+	net_pool_finish(&daemon->server_pool);
+	net_pool_finish(&daemon->store_pool);
+	fleet_finish(&daemon->fleet);
+	config_holder_finish(&daemon->config);
+	for (uint32_t i = 0; i < ARRAY_SIZE(daemon->signals); i++)
+		if (daemon->signals[i])
+			reactor_off_signal(daemon->signals[i]);
+	record_log_finish(&daemon->log);
+	counter_set_finish(&daemon->counters);
+	reactor_finish(&daemon->reactor);
+}
--- /dev/null
+++ b/entry/entry_daemon.h
@@ -0,0 +1,59 @@
+#ifndef ENTRY_ENTRY_DAEMON_H
+#define ENTRY_ENTRY_DAEMON_H
+
+#include "discovery/discovery.h"
+#include "entry/caller_port.h"
+#include "entry/entry_settings.h"
+#include "entry/service_port.h"
+#include "forward/forward.h"
+#include "platform/operator_feed.h"
+#include "platform/server_feed.h"
+#include "platform/store.h"
+
+/*
+ * The daemon of an entry host on the users' platform: one thread with one
+ * event loop, which all parts hang on.
+ */
+struct entry_daemon {
+	struct entry_settings settings;
+	char settings_path[256];
+	uint64_t incarnation;
+	struct reactor reactor;
+	struct counter_set counters;
+	struct record_log log;
+	struct net_pool store_pool;
+	struct net_pool server_pool;
+	struct store store;
+	struct config_holder config;
+	struct fleet fleet;
+	struct operator_feed operator_feed;
+	struct operator_feed_listener versions;
+	struct server_feed server_feed;
+	struct discovery discovery;
+	struct forwarder forwarder;
+	struct batch_port no_batches;
+	struct caller_port caller_port;
+	struct service_port service_port;
+	struct net_server callers;
+	struct net_server ready;
+	struct net_server addresses;
+	struct net_server metrics;
+	struct timer upkeep;
+	struct timer stop;
+	struct event *signals[3];
+	int is_ready;
+	int leaving;
+	int64_t leaving_since_ns;
+	int64_t settings_mtime_ns;
+};
+
+/* `metrics_port` 0: none. The settings file is read again when it changes. */
+int entry_daemon_init(struct entry_daemon *daemon, const char *settings_path,
+		      uint16_t metrics_port, struct error *err);
+
+/* Serves until SIGTERM or SIGINT has brought a graceful stop to its end. */
+void entry_daemon_run(struct entry_daemon *daemon);
+
+void entry_daemon_finish(struct entry_daemon *daemon);
+
+#endif
--- /dev/null
+++ b/entry/service_port.c
@@ -0,0 +1,154 @@
+#include "entry/service_port.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "entry/answers.h"
+#include "platform/calls.h"
+#include "policy/address_answer.h"
+
+/* When to ask again if no host takes calls. */
+#define NO_HOST_RETRY_NS (300 * NS_PER_MS)
+
+static struct service_port *port_of(struct net_handler *handler)
+{
+	return (struct service_port *)handler;
+}
+
+static void answer_ready(struct service_port *port, struct net_request *request)
+{
+	struct refusal refusal = {
+		.status = 503,
+		.type = "not_ready",
+		.detail = "this daemon starts or stops",
+		.retry_after_ns = -1,
+	};
+
+	if (port->ready)
+		answer_json_text(request, 200, "{}", 2);
+	else
+		answer_refusal(request, &refusal);
+}
+
+static uint32_t choose_hosts(struct service_port *port,
+			     const struct caller_call *call,
+			     const char **addresses)
+{
+	const struct host_table *hosts = &port->discovery->hosts;
+	struct address_candidate *candidates =
+		xcalloc(hosts->count + 1, sizeof(*candidates));
+	const struct entry_host **list =
+		xcalloc(hosts->count + 1, sizeof(struct entry_host *));
+	int64_t now_ns = clock_now_ns(port->clock);
+	uint32_t chosen[ADDRESS_ANSWER_MAX];
+	uint32_t count = 0;
+	uint32_t taken;
+
+	for (const struct entry_host *h = hosts->first; h; h = h->next) {
+		candidates[count].data_centre = h->data_centre;
+		candidates[count].region = h->region;
+		candidates[count].takes_calls =
+			entry_host_takes_calls(h, now_ns);
+		list[count++] = h;
+	}
+	taken = address_answer(candidates, count, call->data_centre,
+			       call->region, &port->rng, chosen,
+			       ADDRESS_ANSWER_MAX);
+	for (uint32_t i = 0; i < taken; i++)
+		addresses[i] = list[chosen[i]]->caller_address;
+	free(candidates);
+	free(list);
+	return taken;
+}
+
+static void answer_addresses(struct service_port *port,
+			     struct net_request *request,
+			     const struct caller_call *call)
+{
+	const char *addresses[ADDRESS_ANSWER_MAX];
+	uint32_t count = choose_hosts(port, call, addresses);
+	struct refusal refusal = {
+		.status = 503,
+		.type = "no_host",
+		.detail = "no entry host is known to take calls",
+		.retry_after_ns = NO_HOST_RETRY_NS,
+	};
+	struct strbuf body;
+
+	counter_add(port->address_answers, 1);
+	if (!count) {
+		answer_refusal(request, &refusal);
+		return;
+	}
+	strbuf_init(&body);
+	platform_write_addresses(&body, addresses, count, port->keep_ms);
+	answer_json_text(request, 200, body.buf, body.len);
+	strbuf_finish(&body);
+}
+
+static void answer_metrics(struct service_port *port,
+			   struct net_request *request)
+{
+	struct net_answer answer = {
+		.status = 200,
+		.fields = "Content-Type: text/plain; version=0.0.4\r\n",
+	};
+	struct strbuf body;
+
+	strbuf_init(&body);
+	counter_set_print(port->counters, &body);
+	answer.body = body.buf;
+	answer.body_len = body.len;
+	net_request_answer(request, &answer);
+	strbuf_finish(&body);
+}
+
+static void on_request(struct net_handler *handler, struct net_request *request)
+{
+	struct service_port *port = port_of(handler);
+	struct refusal unknown = {
+		.status = 404,
+		.type = "no_such_call",
+		.detail = "this port has no such call",
+		.retry_after_ns = -1,
+	};
+	struct caller_call call;
+
+	if (platform_read_call(request->head, &call)) {
+		unknown.status = 400;
+		unknown.type = "malformed_request";
+		answer_refusal(request, &unknown);
+		return;
+	}
+	switch (call.kind) {
+	case CALL_READY:
+		answer_ready(port, request);
+		break;
+	case CALL_ADDRESSES:
+		answer_addresses(port, request, &call);
+		break;
+	case CALL_METRICS:
+		answer_metrics(port, request);
+		break;
+	default:
+		answer_refusal(request, &unknown);
+		break;
+	}
+}
+
+static const struct net_handler_vtable handler_vtable = { on_request, NULL };
+
+void service_port_init(struct service_port *port, struct discovery *discovery,
+		       struct counter_set *counters, struct clock *clock,
+		       uint32_t keep_ms, uint64_t seed)
+{
+	memset(port, 0, sizeof(*port));
+	port->handler.vt = &handler_vtable;
+	port->discovery = discovery;
+	port->counters = counters;
+	port->clock = clock;
+	port->keep_ms = keep_ms;
+	rng_init(&port->rng, seed);
+	port->address_answers = counter_get(counters, "address_answers_total");
+}
--- /dev/null
+++ b/fleet/fleet.h
@@ -0,0 +1,88 @@
+#ifndef FLEET_FLEET_H
+#define FLEET_FLEET_H
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "fleet/server_entry.h"
+#include "policy/circuit.h"
+
+/*
+ * The backend servers that this daemon knows: what the platform's store says
+ * of them, corrected by what calls have seen. Entries that vanish while or
+ * just after the store was away are kept for a while, since they come back if
+ * their server lives.
+ */
+struct fleet_load {
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	int64_t seen_ns; /* 0: never */
+};
+
+struct fleet_server {
+	struct server_entry entry;
+	uint64_t offset; /* of the entry in the store */
+	int listed; /* told in the running listing */
+	int64_t doomed_ns; /* its entry vanished: gone from then on; 0: not */
+	int gone; /* out of the table; lives on for its references */
+	int saw_leaving; /* an answer said so before the store did */
+	uint32_t running; /* requests of this daemon */
+	struct fleet_load load; /* by its answers */
+	struct circuit circuit;
+	int64_t learned_ns; /* when the entry changed last */
+	uint32_t references;
+	void *engine; /* of the scheduler of batches; may be NULL */
+	struct fleet_server *next;
+};
+
+struct fleet;
+
+/* Who wants to hear of changes. */
+struct fleet_listener {
+	/* A server is new, or its entry has changed. */
+	void (*changed)(struct fleet_listener *listener,
+			struct fleet_server *server);
+	/* It is out of the table; drop references to it. */
+	void (*removed)(struct fleet_listener *listener,
+			struct fleet_server *server);
+	struct fleet_listener *next;
+};
+
+struct fleet {
+	struct fleet_server *first;
+	uint32_t count;
+	int64_t hold_until_ns; /* vanished entries are kept until then */
+	struct fleet_listener *listeners;
+};
+
+void fleet_init(struct fleet *fleet);
+void fleet_finish(struct fleet *fleet);
+void fleet_add_listener(struct fleet *fleet, struct fleet_listener *listener);
+
+/* Takes over an entry, whose memory it takes; an older one is ignored. */
+void fleet_put(struct fleet *fleet, struct server_entry *entry, uint64_t offset,
+	       int64_t now_ns);
+
+/* The entry was dropped, or names no server that can be used. */
+void fleet_drop(struct fleet *fleet, const char *id, uint64_t offset,
+		int64_t now_ns);
+
+/* A listing of all entries begins, and ends as of `offset`. */
+void fleet_begin_listing(struct fleet *fleet);
+void fleet_end_listing(struct fleet *fleet, uint64_t offset, int64_t now_ns);
+
+/* The store was away until now: vanished entries are kept until `until_ns`. */
+void fleet_hold(struct fleet *fleet, int64_t until_ns);
+
+/* Removes what is doomed by now. */
+void fleet_tick(struct fleet *fleet, int64_t now_ns);
+
+struct fleet_server *fleet_find(struct fleet *fleet, const char *id);
+
+struct fleet_server *fleet_server_hold(struct fleet_server *server);
+void fleet_server_release(struct fleet_server *server);
+
+/* Whether new work may be sent to it now. */
+int fleet_server_usable(const struct fleet_server *server, int64_t now_ns);
+
+#endif
--- /dev/null
+++ b/policy/attempt_plan.c
@@ -0,0 +1,47 @@
+#include "policy/attempt_plan.h"
+
+/* New connections to one server after kept ones that were closed. */
+#define STALE_RETRIES_MAX 2
+
+const char *attempt_outcome_name(enum attempt_outcome outcome)
+{
+	static const char *const names[] = { "answered", "failed", "not_run",
+					     "not_sent", "stale",  "lost" };
+
+	return names[outcome];
+}
+
+/* No further try: says what can be said. */
+static enum attempt_action give_up(const struct attempt_state *state,
+				   enum attempt_outcome outcome)
+{
+	if (state->running)
+		return ATTEMPT_WAIT;
+	if (outcome == ATTEMPT_FAILED)
+		return ATTEMPT_DELIVER;
+	return state->may_have_run ? ATTEMPT_UNKNOWN : ATTEMPT_REFUSE;
+}
+
+enum attempt_action attempt_plan(const struct attempt_state *state,
+				 enum attempt_outcome outcome)
+{
+	int may_go_on = !state->out_of_time &&
+			(state->may_repeat || !state->may_have_run);
+
+	switch (outcome) {
+	case ATTEMPT_ANSWERED:
+		return ATTEMPT_DELIVER;
+	case ATTEMPT_STALE:
+		if (may_go_on && state->stale_retries < STALE_RETRIES_MAX)
+			return ATTEMPT_SAME;
+		break;
+	case ATTEMPT_FAILED:
+	case ATTEMPT_NOT_RUN:
+	case ATTEMPT_NOT_SENT:
+	case ATTEMPT_LOST:
+		break;
+	}
+	if (may_go_on && state->sent < state->max_attempts)
+		return ATTEMPT_AGAIN;
+	return give_up(state, outcome);
+}
--- /dev/null
+++ b/store/topic_follower.c
@@ -0,0 +1,263 @@
+#include "store/topic_follower.h"
+
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/backoff.h"
+
+/* Longest wait for an answer beyond what the store was asked to wait. */
+#define READ_TIMEOUT_NS (700 * NS_PER_MS)
+#define READ_MAX_BYTES (1024 * 1024)
+/*
+ * How long a watch waits. With the time-out it bounds how long a connection
+ * that fell silent goes unnoticed.
+ */
+#define WATCH_NS (1500 * NS_PER_MS)
+#define RETRY_FIRST_NS (50 * NS_PER_MS)
+#define RETRY_MAX_NS (500 * NS_PER_MS)
+/* A refresh is answered "not read" after this many failed reads. */
+#define CATCH_UP_TRIES 3
+
+static void on_caught_up(struct topic_read *read);
+static void on_watched(struct topic_read *read);
+
+static void init_read(struct topic_read *read, const char *topic,
+		      uint32_t partition, int64_t wait_ns,
+		      void (*done)(struct topic_read *read), void *arg)
+{
+	copy_text(read->topic, sizeof(read->topic), topic);
+	read->partition = partition;
+	read->max_bytes = READ_MAX_BYTES;
+	read->wait_ns = wait_ns;
+	read->timeout_ns = READ_TIMEOUT_NS;
+	read->done = done;
+	read->arg = arg;
+	strbuf_init(&read->records);
+}
+
+void topic_follower_init(struct topic_follower *follower,
+			 const struct topic_follower_vtable *vt,
+			 struct topic_log *log, struct timer_service *timers,
+			 const char *topic, uint32_t partition,
+			 struct counter_set *counters)
+{
+	memset(follower, 0, sizeof(*follower));
+	follower->vt = vt;
+	follower->log = log;
+	follower->timers = timers;
+	init_read(&follower->catch_up, topic, partition, 0, on_caught_up,
+		  follower);
+	init_read(&follower->watch, topic, partition, WATCH_NS, on_watched,
+		  follower);
+	if (!counters)
+		return;
+	follower->reads = counter_get(counters, "store_reads_total");
+	follower->failed_reads =
+		counter_get(counters, "store_reads_failed_total");
+}
+
+static void stop_watch(struct topic_follower *follower)
+{
+	if (follower->watching)
+		follower->log->vt->cancel(follower->log, follower->watch.call);
+	follower->watching = 0;
+	timer_unsubscribe(follower->timers, &follower->retry);
+}
+
+void topic_follower_finish(struct topic_follower *follower)
+{
+	if (follower->catching_up)
+		follower->log->vt->cancel(follower->log,
+					  follower->catch_up.call);
+	stop_watch(follower);
+	strbuf_finish(&follower->catch_up.records);
+	strbuf_finish(&follower->watch.records);
+}
+
+/* Applies what follows on what was applied; another read may overlap. */
+static void apply_from(struct topic_follower *follower, uint64_t offset,
+		       const struct strbuf *records)
+{
+	const uint8_t *data;
+	size_t len;
+	size_t at = 0;
+
+	if (offset > follower->next)
+		return;
+	for (; topic_next_record(records, &at, &data, &len); offset++) {
+		if (offset != follower->next)
+			continue;
+		follower->next++;
+		follower->vt->apply(follower, offset, data, len);
+	}
+	if (follower->next > follower->known_end)
+		follower->known_end = follower->next;
+	if (follower->vt->applied)
+		follower->vt->applied(follower);
+}
+
+/* Returns whether the read brought the follower to the end it showed. */
+static int take_answer(struct topic_follower *follower, struct topic_read *read)
+{
+	uint64_t end = read->end;
+
+	/* An older answer than one that came before: not the end of today. */
+	if (end < follower->known_end)
+		end = follower->known_end;
+	follower->known_end = end;
+	apply_from(follower, read->from, &read->records);
+	strbuf_finish(&read->records);
+	return follower->next >= end;
+}
+
+/* What was dropped is lost; goes on with the oldest record that is kept. */
+static void skip_forgotten(struct topic_follower *follower,
+			   const struct topic_read *read)
+{
+	if (read->first > follower->next)
+		follower->next = read->first;
+}
+
+static void start_catch_up(struct topic_follower *follower)
+{
+	follower->catching_up = 1;
+	follower->catch_up.from = follower->next;
+	counter_add(follower->reads, 1);
+	follower->log->vt->read(follower->log, &follower->catch_up);
+}
+
+static void tell(struct topic_refresh *refresh, int ok)
+{
+	while (refresh) {
+		struct topic_refresh *next = refresh->next;
+
+		refresh->done(refresh, ok);
+		refresh = next;
+	}
+}
+
+static void end_catch_up(struct topic_follower *follower, int ok)
+{
+	struct topic_refresh *served = follower->served;
+
+	follower->catch_up_failures = 0;
+	follower->served = follower->waiting;
+	follower->waiting = NULL;
+	if (follower->served)
+		start_catch_up(follower);
+	tell(served, ok);
+}
+
+static void on_caught_up(struct topic_read *read)
+{
+	struct topic_follower *follower = read->arg;
+	uint64_t before = follower->next;
+	int at_end = 0;
+
+	follower->catching_up = 0;
+	if (read->outcome == TOPIC_OK) {
+		at_end = take_answer(follower, read);
+		/* An answer from the past brings nothing, and is no end. */
+		if (follower->next > before)
+			follower->catch_up_failures = 0;
+		else
+			follower->catch_up_failures++;
+	} else if (read->outcome == TOPIC_FORGOTTEN) {
+		skip_forgotten(follower, read);
+	} else {
+		counter_add(follower->failed_reads, 1);
+		follower->catch_up_failures++;
+	}
+	if (at_end)
+		end_catch_up(follower, 1);
+	else if (follower->catch_up_failures >= CATCH_UP_TRIES)
+		end_catch_up(follower, 0);
+	else
+		start_catch_up(follower);
+}
+
+void topic_follower_refresh(struct topic_follower *follower,
+			    struct topic_refresh *refresh)
+{
+	struct topic_refresh **list = follower->catching_up ? &follower->waiting
+							    : &follower->served;
+
+	refresh->next = *list;
+	*list = refresh;
+	if (!follower->catching_up)
+		start_catch_up(follower);
+}
+
+static int take_out(struct topic_refresh **list, struct topic_refresh *refresh)
+{
+	while (*list && *list != refresh)
+		list = &(*list)->next;
+	if (!*list)
+		return 0;
+	*list = refresh->next;
+	return 1;
+}
+
+void topic_follower_drop_refresh(struct topic_follower *follower,
+				 struct topic_refresh *refresh)
+{
+	if (!take_out(&follower->waiting, refresh))
+		take_out(&follower->served, refresh);
+}
+
+static void start_watch(struct topic_follower *follower)
+{
+	follower->watching = 1;
+	follower->watch.from = follower->next;
+	counter_add(follower->reads, 1);
+	follower->log->vt->read(follower->log, &follower->watch);
+}
+
+static void on_retry(void *arg, int64_t now_ns)
+{
+	struct topic_follower *follower = arg;
+
+	(void)now_ns;
+	if (follower->wanted && !follower->watching)
+		start_watch(follower);
+}
+
+static void on_watched(struct topic_read *read)
+{
+	struct topic_follower *follower = read->arg;
+
+	follower->watching = 0;
+	if (read->outcome == TOPIC_OK) {
+		follower->watch_failures = 0;
+		take_answer(follower, read);
+	} else if (read->outcome == TOPIC_FORGOTTEN) {
+		skip_forgotten(follower, read);
+	} else {
+		counter_add(follower->failed_reads, 1);
+		timer_subscribe_once(follower->timers, &follower->retry,
+				     backoff_ns(RETRY_FIRST_NS, RETRY_MAX_NS,
+						follower->watch_failures++),
+				     on_retry, follower);
+		return;
+	}
+	if (follower->wanted && !follower->watching)
+		start_watch(follower);
+}
+
+void topic_follower_want(struct topic_follower *follower)
+{
+	if (!follower->wanted++)
+		start_watch(follower);
+}
+
+void topic_follower_unwant(struct topic_follower *follower)
+{
+	if (!--follower->wanted)
+		stop_watch(follower);
+}
+
+void topic_follower_note_own(struct topic_follower *follower, uint64_t offset,
+			     const struct strbuf *records)
+{
+	apply_from(follower, offset, records);
+}
--- /dev/null
+++ b/store/topic_writer.c
@@ -0,0 +1,267 @@
+#include "store/topic_writer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/backoff.h"
+
+/*
+ * Longest wait for an answer. The store answers in milliseconds; when it is
+ * slow, tens of times as long.
+ */
+#define APPEND_TIMEOUT_NS (700 * NS_PER_MS)
+#define RETRY_FIRST_NS (20 * NS_PER_MS)
+#define RETRY_MAX_NS (400 * NS_PER_MS)
+
+static void send_next(struct topic_writer *writer);
+
+static void on_append_done(struct topic_append *append);
+
+void topic_writer_init(struct topic_writer *writer, struct topic_log *log,
+		       struct timer_service *timers, const char *topic,
+		       uint32_t partition, const char *name,
+		       struct counter_set *counters)
+{
+	memset(writer, 0, sizeof(*writer));
+	writer->log = log;
+	writer->timers = timers;
+	writer->partition = partition;
+	writer->waiting_tail = &writer->waiting;
+	strbuf_init(&writer->group);
+	copy_text(writer->append.topic, sizeof(writer->append.topic), topic);
+	copy_text(writer->append.writer, sizeof(writer->append.writer), name);
+	writer->append.partition = partition;
+	writer->append.expected_end = -1;
+	writer->append.epoch = 1;
+	writer->append.timeout_ns = APPEND_TIMEOUT_NS;
+	writer->append.done = on_append_done;
+	writer->append.arg = writer;
+	if (!counters)
+		return;
+	writer->appends = counter_get(counters, "store_appends_total");
+	writer->lost_answers =
+		counter_get(counters, "store_append_answers_lost_total");
+	writer->refusals = counter_get(counters, "store_append_refused_total");
+}
+
+void topic_writer_finish(struct topic_writer *writer)
+{
+	if (writer->in_flight)
+		writer->log->vt->cancel(writer->log, writer->append.call);
+	timer_unsubscribe(writer->timers, &writer->retry);
+	strbuf_finish(&writer->group);
+}
+
+int topic_writer_is_idle(const struct topic_writer *writer)
+{
+	return !writer->sent && !writer->waiting;
+}
+
+/* Moves waiting writes into the group of the next call. */
+static void fill_group(struct topic_writer *writer)
+{
+	struct topic_write **tail = &writer->sent;
+	size_t max_bytes = writer->log->max_append_bytes;
+
+	strbuf_reset(&writer->group);
+	while (writer->waiting) {
+		struct topic_write *write = writer->waiting;
+
+		if (writer->group.len &&
+		    writer->group.len + write->records.len > max_bytes)
+			break;
+		strbuf_add(&writer->group, write->records.buf,
+			   write->records.len);
+		writer->waiting = write->next;
+		writer->waiting_bytes -= write->records.len;
+		write->next = NULL;
+		*tail = write;
+		tail = &write->next;
+	}
+	if (!writer->waiting)
+		writer->waiting_tail = &writer->waiting;
+	writer->append.records = writer->group.buf;
+	writer->append.records_len = writer->group.len;
+}
+
+static void send_group(struct topic_writer *writer)
+{
+	writer->in_flight = 1;
+	counter_add(writer->appends, 1);
+	writer->log->vt->append(writer->log, &writer->append);
+}
+
+static void on_retry(void *arg, int64_t now_ns)
+{
+	struct topic_writer *writer = arg;
+
+	(void)now_ns;
+	writer->retry_pending = 0;
+	if (writer->in_flight)
+		return;
+	if (writer->sent)
+		send_group(writer);
+	else
+		send_next(writer);
+}
+
+static void retry_later(struct topic_writer *writer)
+{
+	timer_subscribe_once(
+		writer->timers, &writer->retry,
+		backoff_ns(RETRY_FIRST_NS, RETRY_MAX_NS, writer->failures),
+		on_retry, writer);
+	writer->failures++;
+	writer->retry_pending = 1;
+}
+
+static void send_next(struct topic_writer *writer)
+{
+	if (writer->in_flight || writer->sent || !writer->waiting)
+		return;
+	fill_group(writer);
+	send_group(writer);
+}
+
+void topic_writer_add(struct topic_writer *writer, struct topic_write *write)
+{
+	write->next = NULL;
+	*writer->waiting_tail = write;
+	writer->waiting_tail = &write->next;
+	writer->waiting_bytes += write->records.len;
+	/* While calls fail, the retry takes all that waits. */
+	if (!writer->retry_pending)
+		send_next(writer);
+}
+
+int topic_writer_withdraw(struct topic_writer *writer,
+			  struct topic_write *write)
+{
+	struct topic_write **at = &writer->waiting;
+
+	while (*at && *at != write)
+		at = &(*at)->next;
+	if (!*at)
+		return 0;
+	*at = write->next;
+	if (!write->next)
+		writer->waiting_tail = at;
+	writer->waiting_bytes -= write->records.len;
+	return 1;
+}
+
+/* The sequence number is used up: tells the owners and goes on. */
+static void finish_group(struct topic_writer *writer,
+			 enum topic_write_outcome outcome, uint64_t offset)
+{
+	struct topic_write *sent = writer->sent;
+
+	writer->sent = NULL;
+	writer->may_be_done = 0;
+	if (outcome != TOPIC_WRITE_REFUSED)
+		writer->append.sequence++;
+	while (sent) {
+		struct topic_write *write = sent;
+
+		sent = write->next;
+		write->offset = offset;
+		offset += write->record_count;
+		write->done(write, outcome);
+	}
+}
+
+/* Nothing was done: persistent writes wait again, the others are told. */
+static void give_back_group(struct topic_writer *writer)
+{
+	struct topic_write *sent = writer->sent;
+	struct topic_write *kept = NULL;
+	struct topic_write **tail = &kept;
+
+	writer->sent = NULL;
+	while (sent) {
+		struct topic_write *write = sent;
+
+		sent = write->next;
+		if (!write->persistent) {
+			write->done(write, TOPIC_WRITE_REFUSED);
+			continue;
+		}
+		write->next = NULL;
+		*tail = write;
+		tail = &write->next;
+		writer->waiting_bytes += write->records.len;
+	}
+	if (!kept)
+		return;
+	*tail = writer->waiting;
+	if (!writer->waiting)
+		writer->waiting_tail = tail;
+	writer->waiting = kept;
+}
+
+/* Another writer of this name: goes on as a new one. */
+static void renew_name(struct topic_writer *writer)
+{
+	size_t len = strlen(writer->append.writer);
+
+	if (len + 2 < sizeof(writer->append.writer)) {
+		writer->append.writer[len] = '+';
+		writer->append.writer[len + 1] = '\0';
+	}
+	writer->append.sequence = 0;
+}
+
+static void on_bad_sequence(struct topic_writer *writer)
+{
+	/* Beyond ours: a call without an answer was carried out. */
+	if (writer->may_be_done &&
+	    writer->append.next_sequence > writer->append.sequence) {
+		finish_group(writer, TOPIC_WRITE_DONE_SOMEWHERE, 0);
+		return;
+	}
+	renew_name(writer);
+	retry_later(writer);
+}
+
+static void on_refused(struct topic_writer *writer)
+{
+	counter_add(writer->refusals, 1);
+	/* A refusal of the repeat says nothing of the first call. */
+	if (!writer->may_be_done)
+		give_back_group(writer);
+	retry_later(writer);
+}
+
+static void on_append_done(struct topic_append *append)
+{
+	struct topic_writer *writer = append->arg;
+
+	writer->in_flight = 0;
+	switch (append->outcome) {
+	case TOPIC_OK:
+		writer->failures = 0;
+		finish_group(writer, TOPIC_WRITE_DONE, append->offset);
+		break;
+	case TOPIC_UNKNOWN:
+		counter_add(writer->lost_answers, 1);
+		writer->may_be_done = 1;
+		retry_later(writer);
+		break;
+	case TOPIC_BAD_SEQUENCE:
+		on_bad_sequence(writer);
+		break;
+	case TOPIC_FENCED:
+		renew_name(writer);
+		retry_later(writer);
+		break;
+	case TOPIC_REFUSED:
+	case TOPIC_CONFLICT:
+	case TOPIC_FORGOTTEN:
+	case TOPIC_FULL:
+		on_refused(writer);
+		break;
+	}
+	if (!writer->retry_pending)
+		send_next(writer);
+}
