batch: accept, run and list batches of rollouts

Trainers submit batches of items, read results by position at any daemon and end batches. The entry daemon refused them.

Add batches whose state is a function of the store's log alone: all batches of a model stand in one partition; the first submission of an id and the first result of an item count, and results stand in the order of the log, so that every daemon tells the same after any loss. A daemon that is asked reads the partition to its end first. One host runs the items of a partition, by a claim in its log, until it leaves or its notices stop; then the first one by weighted rendezvous takes over, with the progress that was noted. Items go to engines with fitting weights, longest first; runs go on elsewhere after the last event when a stream breaks, an engine leaves or falls silent.

--- /dev/null
+++ b/batch/batch_api.c
@@ -0,0 +1,51 @@
+#include "batch/batch_api.h"
+
+#include <string.h>
+
+#include "batch/batch_call.h"
+#include "batch/batch_submission.h"
+
+static void submit(struct batch_port *port, struct net_request *request,
+		   const struct caller_request *caller,
+		   const struct entry_route *route,
+		   const struct entry_team *team)
+{
+	batch_submission_start((struct batch_api *)port, request, caller, route,
+			       team);
+}
+
+static void call(struct batch_port *port, struct net_request *request,
+		 const struct caller_request *caller,
+		 const struct caller_call *what, const struct entry_team *team)
+{
+	batch_call_start((struct batch_api *)port, request, caller, what, team);
+}
+
+static const struct batch_port_vtable port_vtable = { submit, call };
+
+void batch_api_init(struct batch_api *api, struct reactor *reactor,
+		    struct batch_set *set, struct topic_log *store,
+		    struct record_log *log, struct counter_set *counters,
+		    uint64_t seed)
+{
+	memset(api, 0, sizeof(*api));
+	api->port.vt = &port_vtable;
+	api->reactor = reactor;
+	api->set = set;
+	api->store = store;
+	api->log = log;
+	rng_init(&api->rng, seed);
+	api->accepted = counter_get(counters, "batches_accepted_total");
+	api->repeated = counter_get(counters, "batches_repeated_total");
+	api->refused = counter_get(counters, "batches_refused_total");
+	api->unknown = counter_get(counters, "batches_unknown_total");
+	api->reads = counter_get(counters, "batch_calls_total");
+	histogram_init(&api->accept_duration, counters,
+		       "batch_accept_duration_seconds", "");
+}
+
+void batch_api_finish(struct batch_api *api)
+{
+	batch_submissions_finish(api);
+	batch_calls_finish(api);
+}
--- /dev/null
+++ b/batch/batch_call.c
@@ -0,0 +1,548 @@
+#include "batch/batch_call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "entry/answers.h"
+#include "platform/batch_codec.h"
+
+/* Results of one answer take at most this much. */
+#define ANSWER_MAX_BYTES (900 * 1024)
+/* When to come back after the store could not be read or written. */
+#define STORE_RETRY_NS (300 * NS_PER_MS)
+/* A read is held no longer than this, whatever the caller asks. */
+#define HOLD_MAX_NS (30 * NS_PER_S)
+/* How long a caller is kept waiting for the store. */
+#define PATIENCE_NS (3 * NS_PER_S)
+#define READ_BYTES (1024 * 1024)
+#define READ_TIMEOUT_NS (700 * NS_PER_MS)
+
+/* The refresh of one partition, for a call. */
+struct call_refresh {
+	struct topic_refresh base;
+	struct batch_call *call;
+	struct batch_partition *partition;
+	int running;
+};
+
+struct batch_call {
+	struct net_request_owner owner;
+	struct batch_api *api;
+	struct net_request *request; /* NULL: its caller is gone or answered */
+	struct caller_call what;
+	char *team; /* "": none */
+	int64_t hold_until_ns; /* a read may wait for news until then */
+	struct call_refresh *refreshes;
+	uint32_t refresh_count;
+	uint32_t refreshing; /* that still run */
+	int refresh_failed;
+	struct timer timer;
+	/* A read that waits for news. */
+	struct batch_partition *watched;
+	struct batch_table_listener news;
+	/* Texts that are read from the log again. */
+	struct topic_read reload;
+	int reloading;
+	/* The end of a batch that is being stored. */
+	struct batch_write *write;
+	struct batch_call *next;
+	struct batch_call **at;
+};
+
+static void stop_watching(struct batch_call *call)
+{
+	struct batch_table_listener **at;
+
+	if (!call->watched)
+		return;
+	at = &call->watched->table.listeners;
+	while (*at != &call->news)
+		at = &(*at)->next;
+	*at = call->news.next;
+	topic_follower_unwant(&call->watched->follower);
+	call->watched = NULL;
+}
+
+static void free_call(struct batch_call *call)
+{
+	timer_unsubscribe(&call->api->reactor->timers, &call->timer);
+	stop_watching(call);
+	for (uint32_t i = 0; i < call->refresh_count; i++)
+		if (call->refreshes[i].running)
+			topic_follower_drop_refresh(
+				&call->refreshes[i].partition->follower,
+				&call->refreshes[i].base);
+	if (call->reloading)
+		call->api->store->vt->cancel(call->api->store,
+					     call->reload.call);
+	strbuf_finish(&call->reload.records);
+	*call->at = call->next;
+	if (call->next)
+		call->next->at = call->at;
+	free(call->refreshes);
+	free(call->team);
+	free(call);
+}
+
+static const char *call_name(const struct batch_call *call)
+{
+	switch (call->what.kind) {
+	case CALL_BATCH_READ:
+		return "read";
+	case CALL_BATCH_END:
+		return "end";
+	default:
+		return "item";
+	}
+}
+
+static void report(const struct batch_call *call, uint16_t status,
+		   const char *reason, int64_t results)
+{
+	struct batch_api *api = call->api;
+	struct record record;
+
+	record_begin(&record, api->log, "batch", call_name(call));
+	record_text(&record, "id", call->what.batch);
+	if (call->what.kind == CALL_ITEM_BODY)
+		record_text(&record, "item", call->what.item);
+	if (call->what.kind == CALL_BATCH_READ)
+		record_int(&record, "after", call->what.after);
+	record_int(&record, "status", status);
+	record_text(&record, "reason", reason);
+	if (results >= 0)
+		record_int(&record, "results", results);
+	record_ms(&record, "took_ms",
+		  reactor_now_ns(api->reactor) - call->request->began_ns);
+	record_end(&record);
+}
+
+static void refuse(struct batch_call *call, uint16_t status, const char *type,
+		   const char *detail, int64_t retry_after_ns)
+{
+	struct refusal refusal = {
+		.status = status,
+		.type = type,
+		.detail = detail,
+		.ran = status == 504 ? RAN_UNKNOWN : RAN_NOT,
+		.retry_after_ns = retry_after_ns,
+	};
+	struct net_request *request = call->request;
+
+	report(call, status, type, -1);
+	free_call(call);
+	answer_refusal(request, &refusal);
+}
+
+static void refuse_unknown_batch(struct batch_call *call)
+{
+	if (call->refresh_failed)
+		refuse(call, 503, "store_unavailable",
+		       "the store could not be read", STORE_RETRY_NS);
+	else
+		refuse(call, 404, "no_batch", "no such batch is known", -1);
+}
+
+/* A batch of another team is as unknown as one that does not exist. */
+static struct batch *find_own(struct batch_call *call,
+			      struct batch_partition **in)
+{
+	struct batch *batch =
+		batch_set_find(call->api->set, call->what.batch, in);
+
+	if (batch && !strcmp(batch->team, call->team))
+		return batch;
+	return NULL;
+}
+
+/* Texts from `after` on that are held, and fit into one answer. */
+static uint32_t collect(const struct batch *batch, uint32_t after,
+			struct batch_result_view *views)
+{
+	size_t bytes = 0;
+	uint32_t count = 0;
+
+	for (uint32_t at = after; at < batch->listed_count; at++) {
+		const struct batch_item *item =
+			&batch->items[batch->listed[at]];
+		struct batch_result_view *view = &views[count];
+
+		if (!item->result)
+			break;
+		view->id = item->id;
+		view->is_complete = item->state == BATCH_ITEM_COMPLETE;
+		view->text = item->result->text;
+		view->text_len = item->result->len;
+		view->versions = item->result->versions;
+		view->version_count = item->result->version_count;
+		bytes += platform_batch_result_bytes(view);
+		if (count && bytes > ANSWER_MAX_BYTES)
+			break;
+		count++;
+	}
+	return count;
+}
+
+static void answer_results(struct batch_call *call, const struct batch *batch)
+{
+	uint32_t after = call->what.after;
+	struct batch_result_view *views =
+		xcalloc(batch->item_count + 1, sizeof(*views));
+	struct net_request *request = call->request;
+	uint32_t count = collect(batch, after, views);
+	struct strbuf body;
+	int failed;
+
+	strbuf_init(&body);
+	failed = platform_batch_write_results(&body, batch->item_count, after,
+					      views, count);
+	free(views);
+	if (failed) {
+		refuse(call, 500, "internal", "a result cannot be written", -1);
+	} else {
+		report(call, 200, NULL, count);
+		free_call(call);
+		answer_json_text(request, 200, body.buf, body.len);
+	}
+	strbuf_finish(&body);
+}
+
+static void read_results(struct batch_call *call);
+
+/* Puts texts back that the table has given up; they count as held there. */
+static void take_reloaded(struct batch_call *call, struct batch *batch,
+			  struct batch_partition *in)
+{
+	uint64_t offset = call->reload.from;
+	const uint8_t *data;
+	size_t len;
+	size_t at = 0;
+
+	while (topic_next_record(&call->reload.records, &at, &data, &len))
+		batch_table_restore(&in->table, batch, offset++, data, len);
+}
+
+static void on_reloaded(struct topic_read *read)
+{
+	struct batch_call *call = read->arg;
+	struct batch_partition *in;
+	struct batch *batch;
+
+	call->reloading = 0;
+	batch = find_own(call, &in);
+	if (read->outcome != TOPIC_OK || !batch) {
+		refuse(call, 503, "store_unavailable",
+		       "the store could not be read", STORE_RETRY_NS);
+		return;
+	}
+	take_reloaded(call, batch, in);
+	strbuf_finish(&read->records);
+	read_results(call);
+}
+
+static void reload(struct batch_call *call, const struct batch *batch,
+		   const struct batch_partition *in)
+{
+	const struct batch_item *item =
+		&batch->items[batch->listed[call->what.after]];
+	struct topic_read *read = &call->reload;
+
+	copy_text(read->topic, sizeof(read->topic),
+		  in->follower.catch_up.topic);
+	read->partition = in->number;
+	read->from = item->result_offset;
+	read->max_bytes = READ_BYTES;
+	read->timeout_ns = READ_TIMEOUT_NS;
+	read->done = on_reloaded;
+	read->arg = call;
+	call->reloading = 1;
+	call->api->store->vt->read(call->api->store, read);
+}
+
+/* Answers with what there is from the wanted position on. */
+static void read_results(struct batch_call *call)
+{
+	struct batch_partition *in;
+	struct batch *batch = find_own(call, &in);
+
+	if (!batch) {
+		refuse_unknown_batch(call);
+		return;
+	}
+	if (call->what.after < batch->listed_count &&
+	    !batch->items[batch->listed[call->what.after]].result)
+		reload(call, batch, in);
+	else
+		answer_results(call, batch);
+}
+
+static struct batch_call *watcher_of(struct batch_table_listener *listener)
+{
+	return (struct batch_call *)((char *)listener -
+				     offsetof(struct batch_call, news));
+}
+
+static void on_hold_over(void *arg, int64_t now_ns)
+{
+	struct batch_call *call = arg;
+
+	(void)now_ns;
+	stop_watching(call);
+	read_results(call);
+}
+
+/* Not from here: the table is in the middle of its records. */
+static void answer_soon(struct batch_call *call)
+{
+	timer_subscribe_once(&call->api->reactor->timers, &call->timer, 0,
+			     on_hold_over, call);
+}
+
+static void on_listed(struct batch_table_listener *listener,
+		      struct batch *batch, struct batch_item *item)
+{
+	struct batch_call *call = watcher_of(listener);
+
+	(void)item;
+	if (!strcmp(batch->id, call->what.batch))
+		answer_soon(call);
+}
+
+static void on_ended(struct batch_table_listener *listener, struct batch *batch)
+{
+	on_listed(listener, batch, NULL);
+}
+
+static void wait_for_news(struct batch_call *call, struct batch_partition *in)
+{
+	int64_t now_ns = reactor_now_ns(call->api->reactor);
+
+	call->watched = in;
+	call->news.listed = on_listed;
+	call->news.ended = on_ended;
+	batch_table_add_listener(&in->table, &call->news);
+	topic_follower_want(&in->follower);
+	timer_subscribe_once(&call->api->reactor->timers, &call->timer,
+			     call->hold_until_ns - now_ns, on_hold_over, call);
+}
+
+static void start_read(struct batch_call *call, struct batch *batch,
+		       struct batch_partition *in)
+{
+	int64_t now_ns = reactor_now_ns(call->api->reactor);
+
+	if (call->what.after >= batch->listed_count && !batch_is_done(batch) &&
+	    now_ns < call->hold_until_ns)
+		wait_for_news(call, in);
+	else
+		read_results(call);
+}
+
+static void answer_item(struct batch_call *call, struct batch *batch)
+{
+	const struct batch_item *item = batch_find_item(batch, call->what.item);
+	struct net_answer answer = {
+		.status = 200,
+		.fields = "Content-Type: application/octet-stream\r\n",
+	};
+	struct net_request *request = call->request;
+
+	if (!item || !item->spec || item->state != BATCH_ITEM_OPEN) {
+		refuse(call, 404, "no_item",
+		       "the batch has no such item that is not listed", -1);
+		return;
+	}
+	answer.body = item->spec->body.data;
+	answer.body_len = item->spec->body.len;
+	report(call, 200, NULL, -1);
+	free_call(call);
+	net_request_answer(request, &answer);
+}
+
+static void answer_ended(struct batch_call *call, const char *reason)
+{
+	struct net_request *request = call->request;
+
+	report(call, 200, reason, -1);
+	free_call(call);
+	answer_json_text(request, 200, "{}", 2);
+}
+
+static void on_end_written(struct batch_write *write,
+			   enum topic_write_outcome outcome)
+{
+	struct batch_call *call = write->arg;
+
+	batch_write_free(write);
+	call->write = NULL;
+	if (!call->request)
+		free_call(call);
+	else if (outcome == TOPIC_WRITE_REFUSED)
+		refuse(call, 503, "store_unavailable",
+		       "the end of the batch could not be stored",
+		       STORE_RETRY_NS);
+	else
+		answer_ended(call, "stored");
+}
+
+static void on_end_timeout(void *arg, int64_t now_ns)
+{
+	struct batch_call *call = arg;
+	struct refusal refusal = {
+		.status = 504,
+		.type = "outcome_unknown",
+		.detail = "the store did not say whether the batch has ended",
+		.ran = RAN_UNKNOWN,
+		.retry_after_ns = STORE_RETRY_NS,
+	};
+
+	(void)now_ns;
+	if (batch_write_withdraw(call->write)) {
+		batch_write_free(call->write);
+		call->write = NULL;
+		refuse(call, 503, "store_unavailable",
+		       "the end of the batch could not be stored",
+		       STORE_RETRY_NS);
+		return;
+	}
+	report(call, refusal.status, refusal.type, -1);
+	answer_refusal(call->request, &refusal);
+	call->request = NULL; /* the write goes on */
+}
+
+static void write_end(struct batch_call *call, const struct batch *batch,
+		      struct batch_partition *in)
+{
+	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
+	Currant__Topic__BatchEnd end = CURRANT__TOPIC__BATCH_END__INIT;
+
+	end.batch = batch->id;
+	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_END;
+	record.end = &end;
+	call->write = batch_write_new(in, on_end_written, call);
+	batch_write_add(call->write, &record);
+	timer_subscribe_once(&call->api->reactor->timers, &call->timer,
+			     PATIENCE_NS, on_end_timeout, call);
+	batch_write_start(call->write);
+}
+
+/* All that the log held when the call came has been read, if it could be. */
+static void on_refreshed(struct batch_call *call)
+{
+	struct batch_partition *in;
+	struct batch *batch = find_own(call, &in);
+
+	if (!batch) {
+		refuse_unknown_batch(call);
+		return;
+	}
+	switch (call->what.kind) {
+	case CALL_BATCH_READ:
+		start_read(call, batch, in);
+		break;
+	case CALL_BATCH_END:
+		if (batch->ended)
+			answer_ended(call, "ended_before");
+		else
+			write_end(call, batch, in);
+		break;
+	default:
+		answer_item(call, batch);
+		break;
+	}
+}
+
+static void on_refresh_done(struct topic_refresh *base, int ok)
+{
+	struct call_refresh *refresh = base->arg;
+	struct batch_call *call = refresh->call;
+
+	refresh->running = 0;
+	if (!ok)
+		call->refresh_failed = 1;
+	if (!--call->refreshing)
+		on_refreshed(call);
+}
+
+/* One that is known stands in one partition; else all are read. */
+static void start_refresh(struct batch_call *call)
+{
+	struct batch_set *set = call->api->set;
+	struct batch_partition *in = NULL;
+	int is_known = batch_set_find(set, call->what.batch, &in) != NULL;
+
+	call->refresh_count = is_known ? 1 : set->count;
+	call->refreshing = call->refresh_count;
+	call->refreshes =
+		xcalloc(call->refresh_count, sizeof(*call->refreshes));
+	for (uint32_t i = 0; i < call->refresh_count; i++) {
+		struct call_refresh *refresh = &call->refreshes[i];
+
+		refresh->call = call;
+		refresh->partition = is_known ? in : &set->partitions[i];
+		refresh->running = 1;
+		refresh->base.done = on_refresh_done;
+		refresh->base.arg = refresh;
+		topic_follower_refresh(&refresh->partition->follower,
+				       &refresh->base);
+	}
+}
+
+static void on_gone(struct net_request_owner *owner)
+{
+	struct batch_call *call = (struct batch_call *)owner;
+
+	call->request = NULL;
+	if (!call->write) {
+		free_call(call);
+		return;
+	}
+	/* A batch that nobody waits for may as well end. */
+	timer_unsubscribe(&call->api->reactor->timers, &call->timer);
+}
+
+static const struct net_request_owner_vtable owner_vtable = { on_gone, NULL };
+
+void batch_call_start(struct batch_api *api, struct net_request *request,
+		      const struct caller_request *caller,
+		      const struct caller_call *what,
+		      const struct entry_team *team)
+{
+	struct batch_call *call = xcalloc(1, sizeof(*call));
+	int64_t hold_ns = caller->wait_ms * NS_PER_MS;
+
+	if (hold_ns > HOLD_MAX_NS)
+		hold_ns = HOLD_MAX_NS;
+	call->owner.vt = &owner_vtable;
+	call->api = api;
+	call->request = request;
+	call->what = *what;
+	call->team = xstrdup(team ? team->name : "");
+	call->hold_until_ns = request->whole_ns + hold_ns;
+	strbuf_init(&call->reload.records);
+	call->next = api->calls;
+	call->at = &api->calls;
+	if (call->next)
+		call->next->at = &call->next;
+	api->calls = call;
+	request->owner = &call->owner;
+	counter_add(api->reads, 1);
+	start_refresh(call);
+}
+
+void batch_calls_finish(struct batch_api *api)
+{
+	struct batch_call *call = api->calls;
+
+	while (call) {
+		struct batch_call *next = call->next;
+
+		if (call->request)
+			net_request_abort(call->request);
+		if (call->write)
+			batch_write_free(call->write);
+		free_call(call);
+		call = next;
+	}
+}
--- /dev/null
+++ b/batch/batch_partition.c
@@ -0,0 +1,140 @@
+#include "batch/batch_partition.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/hash.h"
+
+#define BATCH_TOPIC "batch"
+
+static struct batch_partition *partition_of(struct topic_follower *follower)
+{
+	return (struct batch_partition *)follower;
+}
+
+static void on_apply(struct topic_follower *follower, uint64_t offset,
+		     const uint8_t *data, size_t len)
+{
+	struct batch_partition *partition = partition_of(follower);
+
+	batch_table_apply(&partition->table, offset, data, len,
+			  clock_now_ns(partition->clock));
+}
+
+static const struct topic_follower_vtable follower_vtable = {
+	.apply = on_apply,
+};
+
+void batch_partition_init(struct batch_partition *partition,
+			  struct topic_log *log, struct timer_service *timers,
+			  uint32_t number, const char *writer_name,
+			  struct counter_set *counters)
+{
+	topic_follower_init(&partition->follower, &follower_vtable, log, timers,
+			    BATCH_TOPIC, number, counters);
+	topic_writer_init(&partition->writer, log, timers, BATCH_TOPIC, number,
+			  writer_name, counters);
+	batch_table_init(&partition->table);
+	partition->clock = timers->clock;
+	partition->number = number;
+}
+
+void batch_partition_finish(struct batch_partition *partition)
+{
+	topic_writer_finish(&partition->writer);
+	topic_follower_finish(&partition->follower);
+	batch_table_finish(&partition->table);
+}
+
+static void on_written(struct topic_write *base,
+		       enum topic_write_outcome outcome)
+{
+	struct batch_write *write = (struct batch_write *)base;
+
+	if (outcome == TOPIC_WRITE_DONE)
+		topic_follower_note_own(&write->partition->follower,
+					base->offset, &base->records);
+	write->done(write, outcome);
+}
+
+struct batch_write *batch_write_new(struct batch_partition *partition,
+				    void (*done)(struct batch_write *write,
+						 enum topic_write_outcome),
+				    void *arg)
+{
+	struct batch_write *write = xcalloc(1, sizeof(*write));
+
+	strbuf_init(&write->base.records);
+	write->base.done = on_written;
+	write->partition = partition;
+	write->done = done;
+	write->arg = arg;
+	return write;
+}
+
+void batch_write_free(struct batch_write *write)
+{
+	strbuf_finish(&write->base.records);
+	free(write);
+}
+
+void batch_write_add(struct batch_write *write,
+		     const Currant__Topic__BatchRecord *record)
+{
+	batch_record_add(&write->base.records, record);
+	write->base.record_count++;
+}
+
+void batch_write_start(struct batch_write *write)
+{
+	topic_writer_add(&write->partition->writer, &write->base);
+}
+
+int batch_write_withdraw(struct batch_write *write)
+{
+	return topic_writer_withdraw(&write->partition->writer, &write->base);
+}
+
+void batch_set_init(struct batch_set *set, struct topic_log *log,
+		    struct timer_service *timers, const char *writer_name,
+		    struct counter_set *counters)
+{
+	set->count = log->partitions;
+	set->partitions = xcalloc(set->count, sizeof(*set->partitions));
+	for (uint32_t i = 0; i < set->count; i++)
+		batch_partition_init(&set->partitions[i], log, timers, i,
+				     writer_name, counters);
+}
+
+void batch_set_finish(struct batch_set *set)
+{
+	for (uint32_t i = 0; i < set->count; i++)
+		batch_partition_finish(&set->partitions[i]);
+	free(set->partitions);
+	set->partitions = NULL;
+	set->count = 0;
+}
+
+struct batch_partition *batch_set_place(struct batch_set *set,
+					const char *model, const char *path)
+{
+	const char *key = *model ? model : path;
+
+	return &set->partitions[hash_text(key, 0) % set->count];
+}
+
+struct batch *batch_set_find(struct batch_set *set, const char *id,
+			     struct batch_partition **in)
+{
+	for (uint32_t i = 0; i < set->count; i++) {
+		struct batch *batch =
+			batch_table_find(&set->partitions[i].table, id);
+
+		if (!batch)
+			continue;
+		*in = &set->partitions[i];
+		return batch;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/batch/batch_runner.h
@@ -0,0 +1,76 @@
+#ifndef BATCH_BATCH_RUNNER_H
+#define BATCH_BATCH_RUNNER_H
+
+#include "base/record_log.h"
+#include "base/rng.h"
+#include "batch/batch_partition.h"
+#include "batch/carried_texts.h"
+#include "batch/item_run.h"
+#include "entry/config_holder.h"
+#include "fleet/fleet.h"
+
+/*
+ * Runs the items of the partitions that this daemon owns: chooses the next
+ * item and its engine, moves runs away from engines that fall silent or
+ * leave, and appends each result to the log, whose order decides.
+ */
+struct batch_runner;
+
+/* One partition that is run here. */
+struct owned_partition {
+	struct batch_table_listener listener;
+	struct batch_runner *runner;
+	struct batch_partition *partition;
+	struct run_batch *batches;
+	struct owned_partition *next;
+};
+
+struct batch_runner {
+	struct item_run_owner run_owner;
+	struct fleet_listener fleet_listener;
+	struct reactor *reactor;
+	struct net_pool *pool;
+	struct fleet *fleet;
+	struct config_holder *config;
+	struct record_log *log;
+	const char *data_centre;
+	struct rng rng;
+	struct owned_partition *owned;
+	struct engine_state *engines;
+	struct carried_texts carried;
+	struct timer schedule; /* choices are made once a turn */
+	int schedule_pending;
+	struct timer watch; /* of runs */
+	int watching;
+	struct counter *runs_started;
+	struct counter *runs_ended[6]; /* by item_run_end */
+	struct counter *results;
+	struct counter *moved;
+	struct counter *reused_texts;
+};
+
+void batch_runner_init(struct batch_runner *runner, struct reactor *reactor,
+		       struct net_pool *pool, struct fleet *fleet,
+		       struct config_holder *config, struct record_log *log,
+		       struct counter_set *counters, const char *data_centre,
+		       uint64_t seed);
+void batch_runner_finish(struct batch_runner *runner);
+
+/* Runs the open batches of the partition, and those that come. */
+void batch_runner_take(struct batch_runner *runner,
+		       struct batch_partition *partition);
+
+/*
+ * Stops running the partition. `hand_over` appends what its runs have made so
+ * far, so that another host can go on with it.
+ */
+void batch_runner_leave(struct batch_runner *runner,
+			struct batch_partition *partition, int hand_over);
+
+int batch_runner_has(const struct batch_runner *runner,
+		     const struct batch_partition *partition);
+
+/* Something changed that may let an item run: looks soon. */
+void batch_runner_wake(struct batch_runner *runner);
+
+#endif
--- /dev/null
+++ b/batch/batch_runner_private.h
@@ -0,0 +1,43 @@
+#ifndef BATCH_BATCH_RUNNER_PRIVATE_H
+#define BATCH_BATCH_RUNNER_PRIVATE_H
+
+#include "batch/batch_runner.h"
+
+/* The batch's item, with what it was submitted with. */
+struct batch_item *runner_item(const struct run_item *item);
+
+/* Model of an item; that of its batch if it names none. */
+const char *runner_model(const struct run_item *item);
+
+/* The route by which an item runs now; NULL if there is none any more. */
+const struct entry_route *runner_route(const struct batch_runner *runner,
+				       const struct run_item *item);
+
+int64_t runner_now_ns(const struct batch_runner *runner);
+
+/* Starts waiting items as far as engines have room. */
+void runner_place_items(struct batch_runner *runner);
+
+/* Appends the result of an item that is complete, or given up. */
+void runner_store_result(struct batch_runner *runner, struct run_item *item,
+			 enum batch_item_state state, const char *reason);
+
+/* Appends what open items' runs have made so far. */
+void runner_store_progress(struct batch_runner *runner,
+			   struct owned_partition *owned);
+
+/* Looks after runs: silent engines, leaving ones, time that is over. */
+void runner_watch(struct batch_runner *runner);
+
+/* Ends a run; its item waits again. */
+void runner_requeue(struct batch_runner *runner, struct item_run *run,
+		    const char *reason);
+
+/* Takes a batch of an owned partition over; nothing if it is done. */
+void runner_add_batch(struct owned_partition *owned, struct batch *batch);
+void runner_remove_batch(struct owned_partition *owned,
+			 struct run_batch *batch);
+struct run_batch *runner_find_batch(struct owned_partition *owned,
+				    const struct batch *batch);
+
+#endif
--- /dev/null
+++ b/batch/batch_submission.c
@@ -0,0 +1,328 @@
+#include "batch/batch_submission.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "entry/answers.h"
+#include "platform/batch_codec.h"
+
+/*
+ * How long a caller is kept waiting for the store: longer than a slow store
+ * takes, shorter than callers wait for an order of theirs.
+ */
+#define PATIENCE_NS (3 * NS_PER_S)
+/* When to come back after the store refused a batch. */
+#define STORE_RETRY_NS (300 * NS_PER_MS)
+
+struct batch_submission {
+	struct net_request_owner owner;
+	struct batch_api *api;
+	struct net_request *request; /* NULL: its caller is gone or answered */
+	char *batch;
+	struct batch_write *write;
+	struct timer timer;
+	uint32_t items;
+	struct batch_submission *next;
+	struct batch_submission **at;
+};
+
+static void free_submission(struct batch_submission *submission)
+{
+	timer_unsubscribe(&submission->api->reactor->timers,
+			  &submission->timer);
+	*submission->at = submission->next;
+	if (submission->next)
+		submission->next->at = submission->at;
+	free(submission->batch);
+	free(submission);
+}
+
+static void report(struct batch_api *api, const char *event, const char *batch,
+		   const char *reason, uint32_t items, int64_t took_ns)
+{
+	struct record record;
+
+	record_begin(&record, api->log, "batch", event);
+	record_text(&record, "id", batch);
+	record_text(&record, "reason", reason);
+	record_int(&record, "items", items);
+	record_ms(&record, "took_ms", took_ns);
+	record_end(&record);
+}
+
+static int64_t age_ns(struct batch_api *api, const struct net_request *request)
+{
+	return reactor_now_ns(api->reactor) - request->began_ns;
+}
+
+static void refuse(struct batch_api *api, struct net_request *request,
+		   const char *batch, const struct refusal *refusal)
+{
+	counter_add(refusal->ran == RAN_NOT ? api->refused : api->unknown, 1);
+	report(api, "refused", batch, refusal->type, 0, age_ns(api, request));
+	answer_refusal(request, refusal);
+}
+
+static void answer_accepted(struct batch_api *api, struct net_request *request,
+			    const char *batch, uint32_t items,
+			    const char *reason)
+{
+	int64_t took_ns = age_ns(api, request);
+
+	histogram_add(&api->accept_duration, took_ns);
+	report(api, "accepted", batch, reason, items, took_ns);
+	answer_json_text(request, 202, "{}", 2);
+}
+
+static void refuse_store(struct batch_submission *submission)
+{
+	struct refusal refusal = {
+		.status = 503,
+		.type = "store_unavailable",
+		.detail = "the batch could not be stored",
+		.retry_after_ns = STORE_RETRY_NS,
+	};
+
+	refuse(submission->api, submission->request, submission->batch,
+	       &refusal);
+}
+
+static void on_written(struct batch_write *write,
+		       enum topic_write_outcome outcome)
+{
+	struct batch_submission *submission = write->arg;
+	struct batch_api *api = submission->api;
+
+	batch_write_free(write);
+	submission->write = NULL;
+	if (outcome != TOPIC_WRITE_REFUSED)
+		counter_add(api->accepted, 1);
+	if (submission->request) {
+		if (outcome == TOPIC_WRITE_REFUSED)
+			refuse_store(submission);
+		else
+			answer_accepted(api, submission->request,
+					submission->batch, submission->items,
+					"stored");
+	}
+	free_submission(submission);
+}
+
+/* The store did not answer in time. */
+static void on_timeout(void *arg, int64_t now_ns)
+{
+	struct batch_submission *submission = arg;
+	struct refusal refusal = {
+		.status = 504,
+		.type = "outcome_unknown",
+		.detail = "the store did not say whether it holds the batch",
+		.ran = RAN_UNKNOWN,
+		.retry_after_ns = STORE_RETRY_NS,
+	};
+
+	(void)now_ns;
+	if (batch_write_withdraw(submission->write)) {
+		batch_write_free(submission->write);
+		refuse_store(submission);
+		free_submission(submission);
+		return;
+	}
+	refuse(submission->api, submission->request, submission->batch,
+	       &refusal);
+	submission->request = NULL; /* the write goes on */
+}
+
+static void on_gone(struct net_request_owner *owner)
+{
+	struct batch_submission *submission = (struct batch_submission *)owner;
+
+	submission->request = NULL;
+	timer_unsubscribe(&submission->api->reactor->timers,
+			  &submission->timer);
+	if (!batch_write_withdraw(submission->write))
+		return;
+	batch_write_free(submission->write);
+	free_submission(submission);
+}
+
+static const struct net_request_owner_vtable owner_vtable = { on_gone, NULL };
+
+/* Refuses a draft that no time makes acceptable; returns -1 if it did. */
+static int check_draft(struct batch_api *api, struct net_request *request,
+		       const char *batch, const char *text, size_t len,
+		       struct batch_draft *draft)
+{
+	struct error err = ERROR_INIT;
+	struct refusal refusal = {
+		.status = 400,
+		.type = "malformed_batch",
+		.detail = "the body is no batch",
+		.retry_after_ns = -1,
+	};
+
+	if (!platform_batch_decode(text, len, draft, &err))
+		return 0;
+	report(api, "malformed", batch, err.text, 0, 0);
+	refuse(api, request, batch, &refusal);
+	return -1;
+}
+
+static int check_gate(struct batch_api *api, struct net_request *request,
+		      const char *batch, const struct batch_draft *draft,
+		      const struct entry_route *route)
+{
+	struct refusal refusal = {
+		.status = 503,
+		.type = "overloaded",
+		.detail = "the batch could not be done in time",
+	};
+
+	if (!api->gate ||
+	    !api->gate->admit(api->gate, draft, route, &refusal.retry_after_ns))
+		return 0;
+	refuse(api, request, batch, &refusal);
+	return -1;
+}
+
+static int64_t patience_ns(const struct caller_request *caller)
+{
+	if (caller->time_left_ms >= 0 &&
+	    caller->time_left_ms * NS_PER_MS < PATIENCE_NS)
+		return caller->time_left_ms * NS_PER_MS;
+	return PATIENCE_NS;
+}
+
+/* Appends the batch to its partition; -1 if it cannot be stored at all. */
+static int start_write(struct batch_submission *submission,
+		       const struct batch_draft *draft,
+		       const struct caller_request *caller,
+		       const struct entry_route *route,
+		       const struct entry_team *team, const char *path)
+{
+	struct batch_api *api = submission->api;
+	struct batch_partition *partition =
+		batch_set_place(api->set, draft->model, route->path_prefix);
+	struct batch_acceptance acceptance = {
+		.batch = submission->batch,
+		.writer = rng_next(&api->rng),
+		.accepted_ms = wall_now_ms(),
+		.team = team ? team->name : "",
+		.host = caller->host,
+		.path = path,
+		.due_ms = route->due_ms,
+		.retention_ms = route->retention_ms,
+		.max_attempts = route->max_attempts,
+		.single_version = route->single_version,
+	};
+	struct batch_write *write =
+		batch_write_new(partition, on_written, submission);
+
+	if (batch_record_add_submission(
+		    &write->base.records, draft, &acceptance,
+		    api->store->max_record_bytes, &write->base.record_count)) {
+		batch_write_free(write);
+		return -1;
+	}
+	submission->write = write;
+	batch_write_start(write);
+	return 0;
+}
+
+static struct batch_submission *new_submission(struct batch_api *api,
+					       struct net_request *request,
+					       const char *batch)
+{
+	struct batch_submission *submission = xcalloc(1, sizeof(*submission));
+
+	submission->owner.vt = &owner_vtable;
+	submission->api = api;
+	submission->request = request;
+	submission->batch = xstrdup(batch);
+	submission->next = api->submissions;
+	submission->at = &api->submissions;
+	if (submission->next)
+		submission->next->at = &submission->next;
+	api->submissions = submission;
+	request->owner = &submission->owner;
+	return submission;
+}
+
+static void refuse_too_large(struct batch_submission *submission)
+{
+	struct refusal refusal = {
+		.status = 413,
+		.type = "item_too_large",
+		.detail = "an item is larger than the store takes",
+		.retry_after_ns = -1,
+	};
+
+	refuse(submission->api, submission->request, submission->batch,
+	       &refusal);
+	free_submission(submission);
+}
+
+/* Whether the batch was accepted before, here or elsewhere. */
+static int is_known(struct batch_api *api, struct net_request *request,
+		    const char *batch)
+{
+	struct batch_partition *in;
+	const struct batch *known = batch_set_find(api->set, batch, &in);
+
+	if (!known)
+		return 0;
+	counter_add(api->repeated, 1);
+	answer_accepted(api, request, batch, known->item_count, "repeated");
+	return 1;
+}
+
+void batch_submission_start(struct batch_api *api, struct net_request *request,
+			    const struct caller_request *caller,
+			    const struct entry_route *route,
+			    const struct entry_team *team)
+{
+	struct refusal no_id = {
+		.status = 400,
+		.type = "no_id",
+		.detail = "the batch names no id",
+		.retry_after_ns = -1,
+	};
+	struct batch_submission *submission;
+	struct batch_draft draft;
+
+	if (!caller->id || !*caller->id) {
+		refuse(api, request, NULL, &no_id);
+		return;
+	}
+	if (is_known(api, request, caller->id) ||
+	    check_draft(api, request, caller->id, request->body.buf,
+			request->body.len, &draft))
+		return;
+	if (!check_gate(api, request, caller->id, &draft, route)) {
+		submission = new_submission(api, request, caller->id);
+		submission->items = draft.item_count;
+		timer_subscribe_once(&api->reactor->timers, &submission->timer,
+				     patience_ns(caller), on_timeout,
+				     submission);
+		if (start_write(submission, &draft, caller, route, team,
+				http_head_target(request->head)))
+			refuse_too_large(submission);
+	}
+	batch_draft_finish(&draft);
+}
+
+void batch_submissions_finish(struct batch_api *api)
+{
+	struct batch_submission *submission = api->submissions;
+
+	while (submission) {
+		struct batch_submission *next = submission->next;
+
+		if (submission->request)
+			net_request_abort(submission->request);
+		if (submission->write)
+			batch_write_free(submission->write);
+		free_submission(submission);
+		submission = next;
+	}
+}
--- /dev/null
+++ b/batch/batch_submission.h
@@ -0,0 +1,15 @@
+#ifndef BATCH_BATCH_SUBMISSION_H
+#define BATCH_BATCH_SUBMISSION_H
+
+#include "batch/batch_api.h"
+
+/* Takes a batch in; answers the request now or later. */
+void batch_submission_start(struct batch_api *api, struct net_request *request,
+			    const struct caller_request *caller,
+			    const struct entry_route *route,
+			    const struct entry_team *team);
+
+/* Drops what waits; the connections are the caller's. */
+void batch_submissions_finish(struct batch_api *api);
+
+#endif
--- /dev/null
+++ b/batch/batch_table.h
@@ -0,0 +1,72 @@
+#ifndef BATCH_BATCH_TABLE_H
+#define BATCH_BATCH_TABLE_H
+
+#include <stddef.h>
+
+#include "batch/batch.h"
+
+/*
+ * The batches of one partition: applies its records in their order. Pure but
+ * for memory; whoever follows the partition calls it.
+ */
+#define BATCH_TABLE_BUCKETS 256
+#define BATCH_HOST_BYTES 64
+
+struct batch_table;
+
+/* Who hears what a record has changed. Each may be NULL. */
+struct batch_table_listener {
+	void (*accepted)(struct batch_table_listener *listener,
+			 struct batch *batch);
+	/* An item has its result and its position. */
+	void (*listed)(struct batch_table_listener *listener,
+		       struct batch *batch, struct batch_item *item);
+	void (*ended)(struct batch_table_listener *listener,
+		      struct batch *batch);
+	/* Another host runs the items from now on, or nobody. */
+	void (*claimed)(struct batch_table_listener *listener);
+	/* The batch is about to be freed. */
+	void (*dropped)(struct batch_table_listener *listener,
+			struct batch *batch);
+	struct batch_table_listener *next;
+};
+
+/* A submission whose parts have not all come. */
+struct batch_candidate;
+
+struct batch_table {
+	struct batch *buckets[BATCH_TABLE_BUCKETS];
+	struct batch *oldest;
+	struct batch *newest;
+	uint32_t count;
+	struct batch_candidate *candidates;
+	struct batch_table_listener *listeners;
+	/* Who runs the items; "": nobody. */
+	char owner[BATCH_HOST_BYTES];
+	uint64_t owner_incarnation;
+	uint64_t claim_offset;
+	uint64_t held_text_bytes; /* of results */
+	uint64_t malformed; /* records that could not be read */
+};
+
+void batch_table_init(struct batch_table *table);
+void batch_table_finish(struct batch_table *table);
+void batch_table_add_listener(struct batch_table *table,
+			      struct batch_table_listener *listener);
+
+void batch_table_apply(struct batch_table *table, uint64_t offset,
+		       const uint8_t *data, size_t len, int64_t now_ns);
+
+/*
+ * A record that was read again: holds its text once more, if it is the one
+ * that gave an item of the batch its result.
+ */
+void batch_table_restore(struct batch_table *table, struct batch *batch,
+			 uint64_t offset, const uint8_t *data, size_t len);
+
+struct batch *batch_table_find(const struct batch_table *table, const char *id);
+
+/* Frees batches that are done and were accepted before `before_ms`. */
+void batch_table_forget(struct batch_table *table, int64_t before_ms);
+
+#endif
--- /dev/null
+++ b/batch/run_item.c
@@ -0,0 +1,67 @@
+#include "batch/run_item.h"
+
+#include <string.h>
+
+void item_text_init(struct item_text *made)
+{
+	memset(made, 0, sizeof(*made));
+	strbuf_init(&made->text);
+	made->last_event = -1;
+}
+
+void item_text_finish(struct item_text *made)
+{
+	strbuf_finish(&made->text);
+}
+
+void item_text_reset(struct item_text *made)
+{
+	strbuf_reset(&made->text);
+	made->last_event = -1;
+	made->version_count = 0;
+	made->complete = 0;
+}
+
+void item_text_copy(struct item_text *to, const struct item_text *from)
+{
+	item_text_reset(to);
+	strbuf_add(&to->text, from->text.buf, from->text.len);
+	to->last_event = from->last_event;
+	memcpy(to->versions, from->versions, sizeof(to->versions));
+	to->version_count = from->version_count;
+	to->complete = from->complete;
+}
+
+static int has_version(const struct item_text *made, uint64_t version)
+{
+	for (uint32_t i = 0; i < made->version_count; i++)
+		if (made->versions[i] == version)
+			return 1;
+	return 0;
+}
+
+int item_text_add(struct item_text *made, int64_t event, const char *data,
+		  size_t len, uint64_t version)
+{
+	if (!has_version(made, version)) {
+		if (made->version_count == ITEM_VERSIONS_MAX)
+			return -1;
+		made->versions[made->version_count++] = version;
+	}
+	if (made->last_event >= 0)
+		strbuf_addch(&made->text, '\n');
+	strbuf_add(&made->text, data, len);
+	made->last_event = event;
+	return 0;
+}
+
+int item_text_fits(const struct item_text *made, uint64_t min_version,
+		   int single_version)
+{
+	if (single_version && made->version_count > 1)
+		return 0;
+	for (uint32_t i = 0; i < made->version_count; i++)
+		if (made->versions[i] < min_version)
+			return 0;
+	return 1;
+}
--- /dev/null
+++ b/batch/run_item.h
@@ -0,0 +1,71 @@
+#ifndef BATCH_RUN_ITEM_H
+#define BATCH_RUN_ITEM_H
+
+#include "base/strbuf.h"
+#include "batch/batch.h"
+
+/* An open item of a batch that this daemon runs, and what came of it. */
+#define ITEM_VERSIONS_MAX 8
+
+enum run_item_state {
+	RUN_ITEM_WAITING = 0,
+	RUN_ITEM_RUNNING,
+	RUN_ITEM_STORING, /* its result is being appended */
+	RUN_ITEM_DONE,
+};
+
+/* What runs have brought of an item's text. */
+struct item_text {
+	struct strbuf text; /* data of all events, separated by line feeds */
+	int64_t last_event; /* -1: none */
+	uint64_t versions[ITEM_VERSIONS_MAX]; /* that made an event of it */
+	uint32_t version_count;
+	int complete;
+};
+
+struct item_run;
+struct run_batch;
+
+struct run_item {
+	struct run_batch *owner;
+	uint32_t number; /* in the batch */
+	enum run_item_state state;
+	struct item_text made;
+	uint32_t failed_runs; /* answers of the engine that it failed */
+	uint32_t runs; /* that were started */
+	int64_t not_before_ns; /* no run is started earlier */
+	struct item_run *run;
+	uint32_t group; /* index */
+};
+
+struct run_group {
+	const char *name; /* of the batch's specs */
+	uint32_t size;
+	uint32_t left; /* items that are not listed */
+	int is_required; /* it was in an earlier batch */
+};
+
+/* A batch of a partition that this daemon runs. */
+struct run_batch {
+	struct batch *batch;
+	struct run_item *items;
+	struct run_group *groups;
+	uint32_t group_count;
+	uint32_t waiting; /* items in that state */
+	struct run_batch *next;
+};
+
+void item_text_init(struct item_text *made);
+void item_text_finish(struct item_text *made);
+void item_text_reset(struct item_text *made);
+void item_text_copy(struct item_text *to, const struct item_text *from);
+
+/* Adds one event; -1 if too many versions made the text. */
+int item_text_add(struct item_text *made, int64_t event, const char *data,
+		  size_t len, uint64_t version);
+
+/* Whether the text may stand in a batch with these bounds. */
+int item_text_fits(const struct item_text *made, uint64_t min_version,
+		   int single_version);
+
+#endif
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -1,5 +1,6 @@
 #include "entry/entry_daemon.h"
 
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -7,7 +8,6 @@
 #include <unistd.h>
 
 #include "base/alloc.h"
-#include "entry/answers.h"
 #include "platform/settings_decode.h"
 
 #define UPKEEP_PERIOD_NS (500 * NS_PER_MS)
@@ -175,6 +175,7 @@
 	report_life(daemon, "stopping", "signal");
 	update_ready(daemon);
 	discovery_set_leaving(&daemon->discovery);
+	partition_keeper_leave(&daemon->partition_keeper);
 	net_server_drain(&daemon->callers);
 	on_stop_step(daemon, daemon->leaving_since_ns);
 }
@@ -246,42 +247,27 @@
 		       &daemon->log, &daemon->counters);
 }
 
-static void no_batches_yet(struct net_request *request)
+static void init_batches(struct entry_daemon *daemon)
 {
-	struct refusal refusal = { .status = 503,
-				   .type = "no_batches",
-				   .detail = "batches are not taken",
-				   .retry_after_ns = NS_PER_S };
-
-	answer_refusal(request, &refusal);
-}
-
-static void no_submit(struct batch_port *port, struct net_request *request,
-		      const struct caller_request *caller,
-		      const struct entry_route *route,
-		      const struct entry_team *team)
-{
-	(void)port;
-	(void)caller;
-	(void)route;
-	(void)team;
-	no_batches_yet(request);
+	char writer[TOPIC_NAME_BYTES];
+
+	snprintf(writer, sizeof(writer), "%.40s-%016" PRIx64,
+		 daemon->settings.name, daemon->incarnation);
+	batch_set_init(&daemon->batches, &daemon->store.base,
+		       &daemon->reactor.timers, writer, &daemon->counters);
+	batch_api_init(&daemon->batch_api, &daemon->reactor, &daemon->batches,
+		       &daemon->store.base, &daemon->log, &daemon->counters,
+		       daemon->incarnation + 2);
+	batch_runner_init(&daemon->batch_runner, &daemon->reactor,
+			  &daemon->server_pool, &daemon->fleet, &daemon->config,
+			  &daemon->log, &daemon->counters,
+			  daemon->settings.data_centre,
+			  daemon->incarnation + 3);
+	partition_keeper_init(&daemon->partition_keeper, &daemon->reactor,
+			      &daemon->batches, &daemon->batch_runner,
+			      &daemon->discovery, &daemon->log);
 }
 
-static void no_call(struct batch_port *port, struct net_request *request,
-		    const struct caller_request *caller,
-		    const struct caller_call *call,
-		    const struct entry_team *team)
-{
-	(void)port;
-	(void)caller;
-	(void)call;
-	(void)team;
-	no_batches_yet(request);
-}
-
-static const struct batch_port_vtable no_batches = { no_submit, no_call };
-
 static void init_callers(struct entry_daemon *daemon)
 {
 	const struct entry_settings *settings = &daemon->settings;
@@ -293,10 +279,9 @@
 		       &daemon->server_pool, &daemon->fleet, &daemon->config,
 		       &daemon->log, &daemon->counters, settings->data_centre,
 		       daemon->incarnation);
-	daemon->no_batches.vt = &no_batches;
 	caller_port_init(&daemon->caller_port, &daemon->config,
-			 &daemon->forwarder, &daemon->no_batches, &daemon->log,
-			 &daemon->counters);
+			 &daemon->forwarder, &daemon->batch_api.port,
+			 &daemon->log, &daemon->counters);
 	service_port_init(&daemon->service_port, &daemon->discovery,
 			  &daemon->counters, &daemon->reactor.clock, keep_ms,
 			  daemon->incarnation + 1);
@@ -379,6 +364,7 @@
 	fleet_init(&daemon->fleet);
 	init_store(daemon);
 	init_feeds(daemon);
+	init_batches(daemon);
 	init_callers(daemon);
 	if (init_ports(daemon, err) || init_signals(daemon, err))
 		return -1;
@@ -398,6 +384,10 @@
 void entry_daemon_finish(struct entry_daemon *daemon)
 {
 	forwarder_finish(&daemon->forwarder);
+	batch_api_finish(&daemon->batch_api);
+	batch_runner_finish(&daemon->batch_runner);
+	partition_keeper_finish(&daemon->partition_keeper);
+	batch_set_finish(&daemon->batches);
 	net_server_finish(&daemon->callers);
 	net_server_finish(&daemon->ready);
 	net_server_finish(&daemon->addresses);
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -1,6 +1,8 @@
 #ifndef ENTRY_ENTRY_DAEMON_H
 #define ENTRY_ENTRY_DAEMON_H
 
+#include "batch/batch_api.h"
+#include "batch/partition_keeper.h"
 #include "discovery/discovery.h"
 #include "entry/caller_port.h"
 #include "entry/entry_settings.h"
@@ -31,7 +33,10 @@
 	struct server_feed server_feed;
 	struct discovery discovery;
 	struct forwarder forwarder;
-	struct batch_port no_batches;
+	struct batch_set batches;
+	struct batch_api batch_api;
+	struct batch_runner batch_runner;
+	struct partition_keeper partition_keeper;
 	struct caller_port caller_port;
 	struct service_port service_port;
 	struct net_server callers;
--- a/net/http_head.c
+++ b/net/http_head.c
@@ -89,13 +89,20 @@
 	return 0;
 }
 
-int http_head_is_hop_field(const struct http_head *head, uint32_t index)
+int http_name_is_hop(const char *name)
 {
-	const char *name = http_head_name(head, index);
-
 	for (uint32_t i = 0; i < ARRAY_SIZE(hop_fields); i++)
 		if (!strcasecmp(name, hop_fields[i]))
 			return 1;
+	return 0;
+}
+
+int http_head_is_hop_field(const struct http_head *head, uint32_t index)
+{
+	const char *name = http_head_name(head, index);
+
+	if (http_name_is_hop(name))
+		return 1;
 	for (uint32_t i = 0; i < head->field_count; i++)
 		if (!strcasecmp(http_head_name(head, i), "Connection") &&
 		    has_token(http_head_value(head, i), name))
--- a/net/http_head.h
+++ b/net/http_head.h
@@ -42,6 +42,9 @@
 /* How many fields have this name. */
 uint32_t http_head_count(const struct http_head *head, const char *name);
 
+/* Whether a field of this name always concerns one connection alone. */
+int http_name_is_hop(const char *name);
+
 /*
  * Whether a field concerns one connection alone and is not passed on: the
  * usual hop-by-hop fields, what Connection names, and the framing.
--- /dev/null
+++ b/policy/item_place.c
@@ -0,0 +1,51 @@
+#include "policy/item_place.h"
+
+/* What each further run adds to the time of a step, relative to the first. */
+#define STEP_PER_RUN 0.045
+/* Advantages, relative to the time of the item there. */
+#define SAME_DATA_CENTRE_GAIN 0.02
+#define PREFIX_GAIN 0.02
+
+double place_token_time(const struct place_engine *engine, uint32_t running)
+{
+	double speed = engine->speed > 0 ? engine->speed : 1;
+
+	return (1 + STEP_PER_RUN * running) / speed;
+}
+
+static double cost(const struct place_engine *engine)
+{
+	double time = place_token_time(engine, engine->running + 1);
+	uint32_t ahead = engine->running + engine->waiting;
+
+	/* Beyond its slots an item waits for another one to end. */
+	if (engine->slots && ahead >= engine->slots)
+		time *= 2 + (double)(ahead - engine->slots) / engine->slots;
+	if (engine->same_data_centre)
+		time *= 1 - SAME_DATA_CENTRE_GAIN;
+	if (engine->holds_prefix)
+		time *= 1 - PREFIX_GAIN;
+	return time;
+}
+
+int32_t item_place(const struct place_engine *engines, uint32_t count,
+		   const struct place_item *item)
+{
+	double best_cost = 0;
+	int32_t best = -1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		double this_cost;
+
+		if (!engines[i].usable ||
+		    engines[i].memory_tokens < item->memory_tokens ||
+		    (item->needs_dear && engines[i].cheap))
+			continue;
+		this_cost = cost(&engines[i]);
+		if (best >= 0 && this_cost >= best_cost)
+			continue;
+		best = (int32_t)i;
+		best_cost = this_cost;
+	}
+	return best;
+}
