--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -10,6 +10,8 @@
 #define WATCH_PERIOD_NS (100 * NS_PER_MS)
 /* An engine that refused a run is asked again after this time. */
 #define REFUSED_PAUSE_NS (60 * NS_PER_MS)
+/* A load of weights whose end is not told is taken for over after this. */
+#define LOAD_MAX_NS (2500 * NS_PER_MS)
 /* An item whose run was cut waits this long, so that no loop spins. */
 #define CUT_PAUSE_NS (10 * NS_PER_MS)
 
@@ -45,6 +47,22 @@
 	return (struct owned_partition *)listener;
 }
 
+void batch_runner_note_load(struct batch_runner *runner, const char *server,
+			    const char *model, uint64_t version, int loaded)
+{
+	struct fleet_server *found = fleet_find(runner->fleet, server);
+	struct engine_state *engine;
+
+	if (!found)
+		return;
+	engine = engine_state_get(found, &runner->engines);
+	if (loaded)
+		engine_state_saw_version(engine, model, version);
+	engine_state_block(engine, model,
+			   loaded ? 0 : runner_now_ns(runner) + LOAD_MAX_NS);
+	batch_runner_wake(runner);
+}
+
 static void on_schedule(void *arg, int64_t now_ns)
 {
 	struct batch_runner *runner = arg;
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -25,6 +25,13 @@
 	struct owned_partition *next;
 };
 
+/* Who hears what the batches that are run here need. */
+struct batch_need_listener {
+	void (*accepted)(struct batch_need_listener *listener,
+			 const struct batch *batch, const char *service,
+			 uint64_t tokens);
+};
+
 struct batch_runner {
 	struct item_run_owner run_owner;
 	struct fleet_listener fleet_listener;
@@ -37,6 +44,7 @@
 	struct rng rng;
 	struct owned_partition *owned;
 	struct engine_state *engines;
+	struct batch_need_listener *needs; /* may be NULL */
 	struct carried_texts carried;
 	struct timer schedule; /* choices are made once a turn */
 	int schedule_pending;
@@ -70,6 +78,10 @@
 int batch_runner_has(const struct batch_runner *runner,
 		     const struct batch_partition *partition);
 
+/* An engine loads the version of a model's weights, or has loaded it. */
+void batch_runner_note_load(struct batch_runner *runner, const char *server,
+			    const char *model, uint64_t version, int loaded);
+
 /* Something changed that may let an item run: looks soon. */
 void batch_runner_wake(struct batch_runner *runner);
 
--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -3,6 +3,7 @@
 
 #include "base/alloc.h"
 #include "batch/batch_runner_private.h"
+#include "policy/item_order.h"
 
 struct run_batch *runner_find_batch(struct owned_partition *owned,
 				    const struct batch *batch)
@@ -114,6 +115,30 @@
 	}
 }
 
+static uint64_t expected_tokens(const struct batch *batch)
+{
+	double tokens = 0;
+
+	for (uint32_t i = 0; i < batch->item_count; i++) {
+		const Currant__Topic__BatchItem *spec = batch->items[i].spec;
+
+		tokens += item_expected_tokens(spec->length_hint,
+					       spec->max_output_tokens, 0);
+	}
+	return (uint64_t)tokens;
+}
+
+static void tell_need(struct batch_runner *runner, struct run_batch *batch)
+{
+	const struct entry_route *route =
+		runner_route(runner, &batch->items[0]);
+
+	if (runner->needs && route && route->target_count)
+		runner->needs->accepted(runner->needs, batch->batch,
+					route->targets[0].service,
+					expected_tokens(batch->batch));
+}
+
 void runner_add_batch(struct owned_partition *owned, struct batch *batch)
 {
 	struct run_batch *added;
@@ -126,6 +151,7 @@
 	make_groups(added);
 	added->next = owned->batches;
 	owned->batches = added;
+	tell_need(owned->runner, added);
 	start_items(owned->runner, added);
 	batch_runner_wake(owned->runner);
 }
--- /dev/null
+++ b/duty/duty_lease.c
@@ -0,0 +1,301 @@
+#include "duty/duty_lease.h"
+
+#include <string.h>
+
+#include "base/alloc.h"
+#include "proto/topic.pb-c.h"
+
+#define DUTY_TOPIC "keyed.duty"
+#define DUTY_KEY "duties"
+/*
+ * Half of the time within which the platform forbids holders to take turns,
+ * so that a former holder that comes back acts no earlier than that.
+ */
+#define DURATION_NS (1500 * NS_PER_MS)
+#define RENEW_NS (500 * NS_PER_MS)
+/* Clock drift over a tenure, and the way of a call that was sent at its end. */
+#define RIVAL_MARGIN_NS (400 * NS_PER_MS)
+/* A holder stops this long before its time ends. */
+#define HOLDER_MARGIN_NS (100 * NS_PER_MS)
+#define APPEND_TIMEOUT_NS (600 * NS_PER_MS)
+#define WATCH_NS (1200 * NS_PER_MS)
+#define READ_TIMEOUT_NS (600 * NS_PER_MS)
+#define PAUSE_NS (200 * NS_PER_MS)
+#define TICK_NS (100 * NS_PER_MS)
+
+static struct duty_lease *lease_of(struct keyed_follower *follower)
+{
+	return (struct duty_lease *)follower;
+}
+
+static void report(struct duty_lease *lease, const char *event,
+		   const char *reason)
+{
+	struct record record;
+
+	record_begin_essential(&record, lease->log, "duty", event);
+	record_text(&record, "holder", lease->holder);
+	record_int(&record, "fence", (int64_t)lease->fence);
+	record_ms(&record, "claim_age_ms",
+		  clock_now_ns(lease->clock) - lease->read_ns);
+	record_text(&record, "reason", reason);
+	record_end(&record);
+}
+
+static int log_names_self(const struct duty_lease *lease)
+{
+	return !strcmp(lease->holder, lease->name) &&
+	       lease->holder_incarnation == lease->incarnation;
+}
+
+static void set_holder(struct duty_lease *lease, int is_holder,
+		       const char *reason)
+{
+	struct duty_lease_listener *l;
+
+	if (lease->is_holder == is_holder)
+		return;
+	lease->is_holder = is_holder;
+	report(lease, is_holder ? "gained" : "lost", reason);
+	for (l = lease->listeners; l; l = l->next) {
+		if (is_holder)
+			l->gained(l, lease->fence);
+		else
+			l->lost(l);
+	}
+}
+
+/*
+ * A claim of this host stands in the log, or was acknowledged. Its time
+ * counts from before that very claim was sent, not from a later one, since a
+ * rival may have read it at once.
+ */
+static void take_own_claim(struct duty_lease *lease, uint64_t sequence)
+{
+	int64_t until_ns = lease->sent_ns[sequence % DUTY_LEASE_SENDS] +
+			   DURATION_NS - HOLDER_MARGIN_NS;
+
+	if (lease->releasing || lease->sequence - sequence >= DUTY_LEASE_SENDS)
+		return;
+	if (until_ns > lease->held_until_ns)
+		lease->held_until_ns = until_ns;
+	if (duty_lease_holds(lease))
+		set_holder(lease, 1, "claimed");
+}
+
+static void take_claim(struct duty_lease *lease,
+		       const Currant__Topic__DutyClaim *claim)
+{
+	copy_text(lease->holder, sizeof(lease->holder), claim->holder);
+	lease->holder_incarnation = claim->incarnation;
+	lease->fence = claim->fence;
+	lease->duration_ns = claim->duration_ms * NS_PER_MS;
+	lease->read_ns = clock_now_ns(lease->clock);
+	if (log_names_self(lease)) {
+		take_own_claim(lease, claim->sequence);
+		return;
+	}
+	lease->held_until_ns = 0;
+	set_holder(lease, 0, "claimed_by_another");
+}
+
+static void on_put(struct keyed_follower *follower, const char *key,
+		   const void *value, size_t len, uint64_t offset)
+{
+	struct duty_lease *lease = lease_of(follower);
+	Currant__Topic__DutyClaim *claim;
+
+	(void)offset;
+	if (strcmp(key, DUTY_KEY))
+		return;
+	claim = currant__topic__duty_claim__unpack(NULL, len, value);
+	if (!claim)
+		return;
+	take_claim(lease, claim);
+	currant__topic__duty_claim__free_unpacked(claim, NULL);
+}
+
+static void on_drop(struct keyed_follower *follower, const char *key,
+		    uint64_t offset)
+{
+	(void)follower;
+	(void)key;
+	(void)offset;
+}
+
+static const struct keyed_follower_vtable follower_vtable = {
+	.put = on_put,
+	.drop = on_drop,
+};
+
+int duty_lease_holds(struct duty_lease *lease)
+{
+	return lease->held_until_ns &&
+	       clock_now_ns(lease->clock) < lease->held_until_ns;
+}
+
+static void fill_claim(struct duty_lease *lease,
+		       Currant__Topic__DutyClaim *claim, uint64_t fence,
+		       int release)
+{
+	currant__topic__duty_claim__init(claim);
+	claim->holder = release ? "" : lease->name;
+	claim->incarnation = lease->incarnation;
+	claim->fence = fence;
+	claim->duration_ms = DURATION_NS / NS_PER_MS;
+	claim->sequence = lease->sequence;
+}
+
+static void on_appended(struct topic_append *append)
+{
+	struct duty_lease *lease = append->arg;
+	Currant__Topic__DutyClaim claim;
+
+	lease->in_flight = 0;
+	if (append->outcome == TOPIC_CONFLICT)
+		counter_add(lease->conflicts, 1);
+	if (append->outcome != TOPIC_OK || lease->releasing)
+		return;
+	/* As the follower will read it, too. */
+	fill_claim(lease, &claim, lease->sent_fence, 0);
+	take_claim(lease, &claim);
+}
+
+/* Appends a claim, or the release, behind all that was read. */
+static void send_claim(struct duty_lease *lease, uint64_t fence, int release)
+{
+	Currant__Topic__DutyClaim claim;
+	struct strbuf value;
+
+	lease->sequence++;
+	lease->sent_ns[lease->sequence % DUTY_LEASE_SENDS] =
+		clock_now_ns(lease->clock);
+	fill_claim(lease, &claim, fence, release);
+	strbuf_init(&value);
+	strbuf_grow(&value,
+		    currant__topic__duty_claim__get_packed_size(&claim));
+	value.len =
+		currant__topic__duty_claim__pack(&claim, (uint8_t *)value.buf);
+	strbuf_reset(&lease->records);
+	topic_add_keyed(&lease->records, DUTY_KEY, value.buf, value.len);
+	strbuf_finish(&value);
+	lease->append.records = lease->records.buf;
+	lease->append.records_len = lease->records.len;
+	lease->append.expected_end = (int64_t)lease->follower.next;
+	lease->in_flight = 1;
+	lease->sent_fence = fence;
+	counter_add(lease->claims, 1);
+	lease->follower.log->vt->append(lease->follower.log, &lease->append);
+}
+
+static void renew_if_due(struct duty_lease *lease, int64_t now_ns)
+{
+	int64_t sent_ns = lease->sent_ns[lease->sequence % DUTY_LEASE_SENDS];
+
+	if (now_ns - sent_ns >= RENEW_NS)
+		send_claim(lease, lease->fence, 0);
+}
+
+/* Whether the holder's time, as a rival counts it, is over. */
+static int is_free(const struct duty_lease *lease, int64_t now_ns)
+{
+	int64_t wait_ns = lease->extra_wait_ns;
+
+	/* Nobody else has claimed it since this host's time ran out. */
+	if (log_names_self(lease))
+		return 1;
+	if (lease->holder[0])
+		wait_ns += lease->duration_ns + RIVAL_MARGIN_NS;
+	return now_ns - lease->read_ns >= wait_ns;
+}
+
+static void on_tick(void *arg, int64_t now_ns)
+{
+	struct duty_lease *lease = arg;
+
+	if (lease->is_holder && !duty_lease_holds(lease))
+		set_holder(lease, 0, "time_over");
+	if (lease->in_flight || lease->releasing || !lease->follower.is_listed)
+		return;
+	if (lease->is_holder) {
+		renew_if_due(lease, now_ns);
+		return;
+	}
+	if (!lease->wanted || !is_free(lease, now_ns))
+		return;
+	report(lease, "claiming", lease->holder[0] ? "holder_silent" : "free");
+	/* The claim lands at this offset or not at all. */
+	send_claim(lease, lease->follower.next, 0);
+}
+
+void duty_lease_init(struct duty_lease *lease, struct topic_log *log,
+		     struct timer_service *timers, const char *name,
+		     uint64_t incarnation, struct record_log *records,
+		     struct counter_set *counters)
+{
+	struct keyed_follower_settings settings = {
+		.topic = DUTY_TOPIC,
+		.pause_ns = PAUSE_NS,
+		.watch_ns = WATCH_NS,
+		.timeout_ns = READ_TIMEOUT_NS,
+	};
+
+	memset(lease, 0, sizeof(*lease));
+	keyed_follower_init(&lease->follower, &follower_vtable, log, timers,
+			    &settings, counters);
+	lease->timers = timers;
+	lease->clock = timers->clock;
+	lease->log = records;
+	copy_text(lease->name, sizeof(lease->name), name);
+	lease->incarnation = incarnation;
+	strbuf_init(&lease->records);
+	copy_text(lease->append.topic, sizeof(lease->append.topic), DUTY_TOPIC);
+	lease->append.timeout_ns = APPEND_TIMEOUT_NS;
+	lease->append.done = on_appended;
+	lease->append.arg = lease;
+	lease->claims = counter_get(counters, "duty_claims_total");
+	lease->conflicts = counter_get(counters, "duty_claim_conflicts_total");
+}
+
+void duty_lease_finish(struct duty_lease *lease)
+{
+	timer_unsubscribe(lease->timers, &lease->timer);
+	if (lease->in_flight)
+		lease->follower.log->vt->cancel(lease->follower.log,
+						lease->append.call);
+	keyed_follower_finish(&lease->follower);
+	strbuf_finish(&lease->records);
+}
+
+void duty_lease_start(struct duty_lease *lease)
+{
+	lease->read_ns = clock_now_ns(lease->clock);
+	keyed_follower_start(&lease->follower);
+	timer_subscribe(lease->timers, &lease->timer, TICK_NS, on_tick, lease);
+}
+
+void duty_lease_add_listener(struct duty_lease *lease,
+			     struct duty_lease_listener *listener)
+{
+	listener->next = lease->listeners;
+	lease->listeners = listener;
+}
+
+void duty_lease_set_wanted(struct duty_lease *lease, int wanted,
+			   int64_t extra_wait_ns)
+{
+	lease->wanted = wanted;
+	lease->extra_wait_ns = extra_wait_ns;
+}
+
+void duty_lease_release(struct duty_lease *lease)
+{
+	int was_holder = lease->is_holder;
+
+	lease->wanted = 0;
+	lease->releasing = 1;
+	lease->held_until_ns = 0;
+	set_holder(lease, 0, "released");
+	if (was_holder && !lease->in_flight)
+		send_claim(lease, lease->fence, 1);
+}
--- /dev/null
+++ b/duty/usage_duty.c
@@ -0,0 +1,302 @@
+#include "duty/usage_duty.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "duty/usage_counter.h"
+#include "proto/topic.pb-c.h"
+
+#define TICK_NS (250 * NS_PER_MS)
+#define CALL_TIMEOUT_NS (1500 * NS_PER_MS)
+/*
+ * From a window's end to its close, as a part of the time in which the report
+ * is due: hosts append their sums within about a second, a slow store takes
+ * longer, and the report itself has to arrive.
+ */
+#define GRACE_PART 0.35
+/* Windows that are kept after they were reported. */
+#define KEPT_WINDOWS 20
+
+static struct usage_duty *duty_of(struct topic_follower *follower)
+{
+	return (struct usage_duty *)follower;
+}
+
+static void on_apply(struct topic_follower *follower, uint64_t offset,
+		     const uint8_t *data, size_t len)
+{
+	(void)offset;
+	usage_ledger_apply(&duty_of(follower)->ledger, data, len);
+}
+
+static const struct topic_follower_vtable follower_vtable = {
+	.apply = on_apply,
+};
+
+static int is_active(struct usage_duty *duty)
+{
+	return !duty->fenced && duty_lease_holds(duty->lease);
+}
+
+static int is_busy(const struct usage_duty *duty)
+{
+	return duty->refreshing || duty->writing || duty->sending;
+}
+
+/* The window that the wall clock stands in. */
+static uint64_t window_now(const struct usage_duty *duty)
+{
+	return (uint64_t)(wall_now_ms() / 1000) / duty->window_s;
+}
+
+static int64_t window_age_ms(const struct usage_duty *duty, uint64_t window)
+{
+	return wall_now_ms() - (int64_t)((window + 1) * duty->window_s) * 1000;
+}
+
+static int close_is_due(const struct usage_duty *duty)
+{
+	uint64_t window = usage_ledger_next_open(&duty->ledger, duty->since);
+
+	return window_age_ms(duty, window) >=
+	       (int64_t)(duty->late_s * 1000 * GRACE_PART);
+}
+
+static void on_written(struct topic_write *write,
+		       enum topic_write_outcome outcome)
+{
+	struct usage_duty *duty = write->arg;
+
+	if (outcome == TOPIC_WRITE_DONE)
+		topic_follower_note_own(&duty->follower, write->offset,
+					&write->records);
+	duty->writing = 0;
+	strbuf_finish(&write->records);
+	free(write);
+}
+
+static void write_record(struct usage_duty *duty,
+			 const Currant__Topic__UsageRecord *record)
+{
+	struct topic_write *write = xcalloc(1, sizeof(*write));
+	struct strbuf packed;
+
+	strbuf_init(&packed);
+	strbuf_grow(&packed,
+		    currant__topic__usage_record__get_packed_size(record));
+	packed.len = currant__topic__usage_record__pack(record,
+							(uint8_t *)packed.buf);
+	strbuf_init(&write->records);
+	topic_add_record(&write->records, packed.buf, packed.len);
+	strbuf_finish(&packed);
+	write->record_count = 1;
+	write->done = on_written;
+	write->arg = duty;
+	duty->writing = 1;
+	topic_writer_add(&duty->writer, write);
+}
+
+static void report_line(struct usage_duty *duty, const char *event,
+			uint64_t window, uint64_t requests, const char *reason)
+{
+	struct record record;
+
+	record_begin(&record, duty->log, "usage", event);
+	record_int(&record, "window", (int64_t)window);
+	record_int(&record, "requests", (int64_t)requests);
+	record_int(&record, "fence", (int64_t)duty->fence);
+	record_int(&record, "age_ms", window_age_ms(duty, window));
+	record_text(&record, "reason", reason);
+	record_end(&record);
+}
+
+static uint64_t sum_of(const struct usage_window *window)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; window && i < window->count; i++)
+		sum += window->counts[i].requests;
+	return sum;
+}
+
+/* Fixes the figures of the window. */
+static void close_window(struct usage_duty *duty)
+{
+	uint64_t number = usage_ledger_next_open(&duty->ledger, duty->since);
+	const struct usage_window *window =
+		usage_ledger_find(&duty->ledger, number);
+	uint32_t count = window ? window->count : 0;
+	Currant__Topic__UsageRecord record = CURRANT__TOPIC__USAGE_RECORD__INIT;
+	Currant__Topic__UsageClose close = CURRANT__TOPIC__USAGE_CLOSE__INIT;
+	Currant__Topic__TeamCount *counts = xcalloc(count + 1, sizeof(*counts));
+
+	close.counts = xcalloc(count + 1, sizeof(void *));
+	for (uint32_t i = 0; i < count; i++) {
+		currant__topic__team_count__init(&counts[i]);
+		counts[i].team = window->counts[i].team;
+		counts[i].requests = window->counts[i].requests;
+		close.counts[close.n_counts++] = &counts[i];
+	}
+	close.window = number;
+	close.host = (char *)duty->holder;
+	record.kind_case = CURRANT__TOPIC__USAGE_RECORD__KIND_CLOSE;
+	record.close = &close;
+	report_line(duty, "closing", number, sum_of(window), NULL);
+	write_record(duty, &record);
+	free(close.counts);
+	free(counts);
+}
+
+static void write_reported(struct usage_duty *duty, uint64_t window)
+{
+	Currant__Topic__UsageRecord record = CURRANT__TOPIC__USAGE_RECORD__INIT;
+	Currant__Topic__UsageReported reported =
+		CURRANT__TOPIC__USAGE_REPORTED__INIT;
+
+	reported.window = window;
+	record.kind_case = CURRANT__TOPIC__USAGE_RECORD__KIND_REPORTED;
+	record.reported = &reported;
+	write_record(duty, &record);
+}
+
+static void on_reported(struct duty_call *call)
+{
+	struct usage_duty *duty = call->arg;
+	struct usage_report *report = &duty->report;
+
+	duty->sending = 0;
+	report_line(duty, "reported", report->window,
+		    sum_of(usage_ledger_find(&duty->ledger, report->window)),
+		    duty_outcome_name(call->outcome));
+	if (call->outcome == DUTY_DONE) {
+		counter_add(duty->reports, 1);
+		write_reported(duty, report->window);
+		return;
+	}
+	counter_add(duty->failed_reports, 1);
+	if (call->outcome == DUTY_FENCED)
+		duty->fenced = 1;
+}
+
+static void send_report(struct usage_duty *duty,
+			const struct usage_window *window)
+{
+	struct usage_report *report = &duty->report;
+
+	report->call.holder = duty->holder;
+	report->call.fence = duty->fence;
+	report->call.timeout_ns = CALL_TIMEOUT_NS;
+	report->call.done = on_reported;
+	report->call.arg = duty;
+	report->window = window->number;
+	report->counts = window->counts;
+	report->count = window->count;
+	duty->sending = 1;
+	duty->port->vt->report_usage(duty->port, report);
+}
+
+/* All that was appended has been read. */
+static void on_refreshed(struct topic_refresh *refresh, int ok)
+{
+	struct usage_duty *duty = refresh->arg;
+	const struct usage_window *window;
+
+	duty->refreshing = 0;
+	if (!ok || !is_active(duty))
+		return;
+	usage_ledger_forget(&duty->ledger, window_now(duty) - KEPT_WINDOWS);
+	gauge_set(duty->late_requests, (int64_t)duty->ledger.late_requests);
+	window = usage_ledger_next_report(&duty->ledger);
+	if (window)
+		send_report(duty, window);
+	else if (close_is_due(duty))
+		close_window(duty);
+}
+
+static void on_tick(void *arg, int64_t now_ns)
+{
+	struct usage_duty *duty = arg;
+
+	(void)now_ns;
+	if (!is_active(duty) || is_busy(duty))
+		return;
+	if (!usage_ledger_next_report(&duty->ledger) && !close_is_due(duty))
+		return;
+	duty->refreshing = 1;
+	topic_follower_refresh(&duty->follower, &duty->refresh);
+}
+
+static struct usage_duty *listening(struct duty_lease_listener *listener)
+{
+	return (struct usage_duty *)((char *)listener -
+				     offsetof(struct usage_duty,
+					      lease_listener));
+}
+
+static void on_gained(struct duty_lease_listener *listener, uint64_t fence)
+{
+	struct usage_duty *duty = listening(listener);
+
+	duty->fence = fence;
+	duty->fenced = 0;
+	if (!duty->since)
+		duty->since = window_now(duty);
+	timer_subscribe(duty->timers, &duty->timer, TICK_NS, on_tick, duty);
+	/* What others have closed and not reported is known only by reading. */
+	if (!duty->refreshing) {
+		duty->refreshing = 1;
+		topic_follower_refresh(&duty->follower, &duty->refresh);
+	}
+}
+
+static void on_lost(struct duty_lease_listener *listener)
+{
+	struct usage_duty *duty = listening(listener);
+
+	timer_unsubscribe(duty->timers, &duty->timer);
+	if (duty->sending)
+		duty->port->vt->cancel(duty->port, &duty->report.call);
+	duty->sending = 0;
+}
+
+void usage_duty_init(struct usage_duty *duty, struct topic_log *log,
+		     struct timer_service *timers, struct duty_lease *lease,
+		     struct duty_port *port, const char *holder,
+		     const char *writer_name, uint32_t window_s,
+		     uint32_t late_s, struct record_log *records,
+		     struct counter_set *counters)
+{
+	memset(duty, 0, sizeof(*duty));
+	topic_follower_init(&duty->follower, &follower_vtable, log, timers,
+			    USAGE_TOPIC, 0, counters);
+	topic_writer_init(&duty->writer, log, timers, USAGE_TOPIC, 0,
+			  writer_name, counters);
+	usage_ledger_init(&duty->ledger);
+	duty->timers = timers;
+	duty->lease = lease;
+	duty->port = port;
+	duty->log = records;
+	duty->holder = holder;
+	duty->window_s = window_s;
+	duty->late_s = late_s;
+	duty->refresh.done = on_refreshed;
+	duty->refresh.arg = duty;
+	duty->lease_listener.gained = on_gained;
+	duty->lease_listener.lost = on_lost;
+	duty_lease_add_listener(lease, &duty->lease_listener);
+	duty->reports = counter_get(counters, "usage_reports_total");
+	duty->failed_reports =
+		counter_get(counters, "usage_reports_failed_total");
+	duty->late_requests = gauge_get(counters, "usage_late_requests");
+}
+
+void usage_duty_finish(struct usage_duty *duty)
+{
+	timer_unsubscribe(duty->timers, &duty->timer);
+	if (duty->sending)
+		duty->port->vt->cancel(duty->port, &duty->report.call);
+	topic_writer_finish(&duty->writer);
+	topic_follower_finish(&duty->follower);
+	usage_ledger_finish(&duty->ledger);
+}
--- /dev/null
+++ b/duty/version_duty.c
@@ -0,0 +1,554 @@
+#include "duty/version_duty.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "policy/version_plan.h"
+
+#define ENGINES_MAX 1024
+#define ORDER_TIMEOUT_NS (500 * NS_PER_MS)
+#define REPORT_TIMEOUT_NS (400 * NS_PER_MS)
+/* Pause between two questions whether a load is over. */
+#define POLL_NS (100 * NS_PER_MS)
+/* How long a load takes until one was seen, and at most. */
+#define FIRST_LOAD_NS (900 * NS_PER_MS)
+#define LOAD_MAX_NS (8 * NS_PER_S)
+/* Weight of one load in the mean. */
+#define LOAD_WEIGHT 0.2
+/* An engine that refused an order is asked again after this time. */
+#define REFUSED_NS (300 * NS_PER_MS)
+/* A model whose batches stopped coming gives its engines up after this. */
+#define NEED_KEEPS_NS (30 * NS_PER_S)
+/*
+ * Loads that run at once slow each other down; the platform bears about a
+ * fifth of the engines, and two.
+ */
+#define AT_ONCE_DENOMINATOR 5
+#define AT_ONCE_MIN 2
+
+enum engine_phase {
+	PHASE_IDLE = 0,
+	PHASE_ORDERING, /* an order is on its way */
+	PHASE_LOADING,
+	PHASE_ASKING, /* whether the load is over, or what holds */
+};
+
+struct duty_engine {
+	struct version_duty *duty;
+	struct fleet_server *server; /* held */
+	enum engine_phase phase;
+	char share[WEIGHT_NAME_BYTES]; /* its model; "": none yet */
+	char model[WEIGHT_NAME_BYTES]; /* that it loads */
+	uint64_t version;
+	int64_t ordered_ns;
+	int64_t not_before_ns; /* no order is sent earlier */
+	int64_t orders; /* that it took since its start; -1: not known */
+	/* The newest version that this daemon knows it has, by model. */
+	char known_model[WEIGHT_NAME_BYTES];
+	uint64_t known_version;
+	struct weight_order order;
+	struct engine_report report;
+	struct timer timer;
+	struct duty_engine *next;
+};
+
+static void plan_soon(struct version_duty *duty);
+static void ask(struct duty_engine *engine);
+
+static int64_t now_ns(const struct version_duty *duty)
+{
+	return clock_now_ns(duty->clock);
+}
+
+static void report_line(const struct duty_engine *engine, const char *event,
+			const char *outcome)
+{
+	struct version_duty *duty = engine->duty;
+	struct record record;
+
+	record_begin(&record, duty->log, "weights", event);
+	record_text(&record, "server", engine->server->entry.id);
+	record_text(&record, "model", engine->model);
+	record_int(&record, "version", (int64_t)engine->version);
+	record_int(&record, "before",
+		   (int64_t)server_entry_version(&engine->server->entry,
+						 engine->model));
+	record_int(&record, "fence", (int64_t)duty->fence);
+	record_int(&record, "orders", engine->orders);
+	record_ms(&record, "age_ms",
+		  engine->ordered_ns ? now_ns(duty) - engine->ordered_ns : 0);
+	record_text(&record, "outcome", outcome);
+	record_end(&record);
+}
+
+static void cancel_calls(struct duty_engine *engine)
+{
+	struct duty_port *port = engine->duty->port;
+
+	timer_unsubscribe(engine->duty->timers, &engine->timer);
+	if (engine->phase == PHASE_ORDERING)
+		port->vt->cancel(port, &engine->order.call);
+	else if (engine->phase == PHASE_ASKING)
+		port->vt->cancel(port, &engine->report.call);
+	engine->phase = PHASE_IDLE;
+}
+
+static void free_engine(struct duty_engine *engine)
+{
+	struct duty_engine **at = &engine->duty->engines;
+
+	cancel_calls(engine);
+	while (*at != engine)
+		at = &(*at)->next;
+	*at = engine->next;
+	fleet_server_release(engine->server);
+	free(engine);
+}
+
+static struct duty_engine *get_engine(struct version_duty *duty,
+				      struct fleet_server *server)
+{
+	struct duty_engine *engine = duty->engines;
+
+	while (engine && engine->server != server)
+		engine = engine->next;
+	if (engine)
+		return engine;
+	engine = xcalloc(1, sizeof(*engine));
+	engine->duty = duty;
+	engine->server = fleet_server_hold(server);
+	engine->orders = -1;
+	engine->next = duty->engines;
+	duty->engines = engine;
+	return engine;
+}
+
+static void say_load(struct duty_engine *engine, int loaded)
+{
+	struct weight_load load = { .version = engine->version,
+				    .loaded = loaded };
+
+	copy_text(load.engine, sizeof(load.engine), engine->server->entry.id);
+	copy_text(load.model, sizeof(load.model), engine->model);
+	weight_board_say_load(engine->duty->board, &load);
+}
+
+static void end_load(struct duty_engine *engine, const char *outcome)
+{
+	struct version_duty *duty = engine->duty;
+
+	report_line(engine, "loaded", outcome);
+	copy_text(engine->known_model, sizeof(engine->known_model),
+		  engine->model);
+	engine->known_version = engine->version;
+	engine->phase = PHASE_IDLE;
+	counter_add(duty->loads, 1);
+	say_load(engine, 1);
+	plan_soon(duty);
+}
+
+static void on_poll(void *arg, int64_t at_ns)
+{
+	(void)at_ns;
+	ask(arg);
+}
+
+static void poll_after(struct duty_engine *engine, int64_t delay_ns)
+{
+	engine->phase = PHASE_LOADING;
+	timer_subscribe_once(engine->duty->timers, &engine->timer, delay_ns,
+			     on_poll, engine);
+}
+
+static void learn_load_time(struct duty_engine *engine)
+{
+	struct version_duty *duty = engine->duty;
+	double took_ns = (double)(now_ns(duty) - engine->ordered_ns);
+
+	duty->load_ns += LOAD_WEIGHT * (took_ns - duty->load_ns);
+}
+
+/* What the engine says of itself decides, also after a lost answer. */
+static void on_report(struct duty_call *call)
+{
+	struct duty_engine *engine = call->arg;
+	const struct engine_report *report = &engine->report;
+	int is_late = now_ns(engine->duty) - engine->ordered_ns > LOAD_MAX_NS;
+
+	engine->phase = PHASE_LOADING;
+	if (call->outcome != DUTY_DONE) {
+		if (is_late)
+			engine->phase = PHASE_IDLE;
+		else
+			poll_after(engine, POLL_NS);
+		return;
+	}
+	engine->orders = (int64_t)report->orders;
+	if (report->is_busy && !is_late) {
+		poll_after(engine, POLL_NS);
+		return;
+	}
+	if (report->version >= engine->version) {
+		learn_load_time(engine);
+		end_load(engine, "reported");
+		return;
+	}
+	/* The order was lost, or another one came first. */
+	report_line(engine, "not_loaded", "reported");
+	engine->phase = PHASE_IDLE;
+	plan_soon(engine->duty);
+}
+
+static void ask(struct duty_engine *engine)
+{
+	struct engine_report *report = &engine->report;
+
+	report->call.timeout_ns = REPORT_TIMEOUT_NS;
+	report->call.done = on_report;
+	report->call.arg = engine;
+	report->server_id = engine->server->entry.id;
+	report->address = engine->server->entry.address;
+	report->model = engine->model;
+	engine->phase = PHASE_ASKING;
+	engine->duty->port->vt->ask_engine(engine->duty->port, report);
+}
+
+static void on_ordered(struct duty_call *call)
+{
+	struct duty_engine *engine = call->arg;
+	struct version_duty *duty = engine->duty;
+
+	report_line(engine, "ordered", duty_outcome_name(call->outcome));
+	engine->phase = PHASE_IDLE;
+	switch (call->outcome) {
+	case DUTY_DONE:
+		if (engine->orders >= 0)
+			engine->orders++;
+		say_load(engine, 0);
+		poll_after(engine, (int64_t)duty->load_ns - POLL_NS / 2);
+		return;
+	case DUTY_HOLDS:
+		end_load(engine, "held");
+		return;
+	case DUTY_CONFLICT:
+	case DUTY_UNKNOWN:
+		/* Another order runs, the count differs, or nobody knows. */
+		counter_add(duty->failed_orders, 1);
+		ask(engine);
+		return;
+	case DUTY_FENCED:
+		duty->active = 0; /* until the duty is gained anew */
+		break;
+	case DUTY_REFUSED:
+	case DUTY_INVALID:
+		break;
+	}
+	counter_add(duty->failed_orders, 1);
+	engine->not_before_ns = now_ns(duty) + REFUSED_NS;
+	plan_soon(duty);
+}
+
+static const struct weight_need *find_need(const struct version_duty *duty,
+					   const char *model)
+{
+	for (uint32_t i = 0; i < duty->need_count; i++)
+		if (!strcmp(duty->needs[i].model, model))
+			return &duty->needs[i];
+	return NULL;
+}
+
+static void send_order(struct duty_engine *engine, const char *model)
+{
+	struct version_duty *duty = engine->duty;
+	const struct weight_need *need = find_need(duty, model);
+	struct weight_order *order = &engine->order;
+
+	copy_text(engine->model, sizeof(engine->model), model);
+	engine->version = named_versions_get(duty->named, model);
+	engine->ordered_ns = now_ns(duty);
+	/*
+	 * An order that names the count of earlier ones has no effect once a
+	 * newer one was taken, however late it is carried out.
+	 */
+	if (engine->orders < 0) {
+		ask(engine);
+		return;
+	}
+	order->call.holder = duty->holder;
+	order->call.fence = duty->fence;
+	order->call.timeout_ns = ORDER_TIMEOUT_NS;
+	order->call.done = on_ordered;
+	order->call.arg = engine;
+	order->server_id = engine->server->entry.id;
+	order->address = engine->server->entry.address;
+	order->model = engine->model;
+	order->version = engine->version;
+	order->mode = need && need->single_version ? LOAD_AFTER_RUNS
+						   : LOAD_KEEPS_RUNS;
+	order->expected_orders = engine->orders;
+	engine->phase = PHASE_ORDERING;
+	counter_add(duty->orders, 1);
+	duty->port->vt->order_weights(duty->port, order);
+}
+
+/* Version that the engine has, by its entry or by its last load. */
+static uint64_t version_of(const struct duty_engine *engine, const char *model)
+{
+	uint64_t said = server_entry_version(&engine->server->entry, model);
+
+	if (!strcmp(engine->known_model, model) && engine->known_version > said)
+		return engine->known_version;
+	return said;
+}
+
+static void view_models(struct version_duty *duty, struct plan_model *models)
+{
+	int64_t now = now_ns(duty);
+
+	for (uint32_t i = 0; i < duty->need_count; i++) {
+		const struct weight_need *need = &duty->needs[i];
+
+		models[i].named = named_versions_get(duty->named, need->model);
+		models[i].lag =
+			need->named_version > need->min_version
+				? need->named_version - need->min_version
+				: 0;
+		models[i].tokens = (double)need->tokens + 1;
+		models[i].is_active = now - duty->need_ns[i] < NEED_KEEPS_NS;
+	}
+}
+
+static int32_t index_of_model(const struct version_duty *duty,
+			      const char *model)
+{
+	for (uint32_t i = 0; i < duty->need_count; i++)
+		if (!strcmp(duty->needs[i].model, model))
+			return (int32_t)i;
+	return -1;
+}
+
+static void view_engine(struct version_duty *duty,
+			const struct duty_engine *engine,
+			struct plan_engine *view)
+{
+	const struct fleet_server *server = engine->server;
+
+	view->share = index_of_model(duty, engine->share);
+	view->is_loading = engine->phase != PHASE_IDLE;
+	view->usable = fleet_server_usable(server, now_ns(duty)) &&
+		       now_ns(duty) >= engine->not_before_ns;
+	for (uint32_t i = 0; i < duty->need_count; i++)
+		view->versions[i] = version_of(engine, duty->needs[i].model);
+}
+
+/* Engines of the services whose batches need weights. */
+static uint32_t collect_engines(struct version_duty *duty,
+				struct duty_engine **engines)
+{
+	uint32_t count = 0;
+
+	for (struct fleet_server *s = duty->fleet->first;
+	     s && count < ENGINES_MAX; s = s->next)
+		for (uint32_t i = 0; i < duty->need_count; i++)
+			if (!strcmp(duty->needs[i].service, s->entry.service)) {
+				engines[count++] = get_engine(duty, s);
+				break;
+			}
+	return count;
+}
+
+static void note_share(struct version_duty *duty, struct duty_engine *engine,
+		       int32_t share)
+{
+	const char *model = share >= 0 ? duty->needs[share].model : "";
+	struct record record;
+
+	if (!strcmp(engine->share, model))
+		return;
+	copy_text(engine->share, sizeof(engine->share), model);
+	record_begin(&record, duty->log, "weights", "share");
+	record_text(&record, "server", engine->server->entry.id);
+	record_text(&record, "model", model);
+	record_end(&record);
+}
+
+static uint32_t loads_at_once(uint32_t engine_count)
+{
+	uint32_t at_once = engine_count / AT_ONCE_DENOMINATOR;
+
+	return at_once < AT_ONCE_MIN ? AT_ONCE_MIN : at_once;
+}
+
+static void plan(struct version_duty *duty)
+{
+	struct duty_engine **engines = xcalloc(ENGINES_MAX, sizeof(void *));
+	struct plan_model models[PLAN_MODELS_MAX];
+	uint32_t count = collect_engines(duty, engines);
+	struct plan_engine *views = xcalloc(count + 1, sizeof(*views));
+	struct plan_load *loads = xcalloc(count + 1, sizeof(*loads));
+	uint32_t load_count;
+
+	view_models(duty, models);
+	for (uint32_t i = 0; i < count; i++)
+		view_engine(duty, engines[i], &views[i]);
+	version_plan_shares(models, duty->need_count, views, count);
+	for (uint32_t i = 0; i < count; i++)
+		if (views[i].usable)
+			note_share(duty, engines[i], views[i].share);
+	load_count = version_plan_loads(models, duty->need_count, views, count,
+					loads_at_once(count), loads);
+	for (uint32_t i = 0; i < load_count; i++)
+		send_order(engines[loads[i].engine],
+			   duty->needs[loads[i].model].model);
+	free(loads);
+	free(views);
+	free(engines);
+}
+
+static void on_soon(void *arg, int64_t at_ns)
+{
+	struct version_duty *duty = arg;
+
+	(void)at_ns;
+	duty->soon_pending = 0;
+	if (duty->active && duty_lease_holds(duty->lease))
+		plan(duty);
+}
+
+static void plan_soon(struct version_duty *duty)
+{
+	if (duty->soon_pending || !duty->active)
+		return;
+	duty->soon_pending = 1;
+	timer_subscribe_once(duty->timers, &duty->soon, 0, on_soon, duty);
+}
+
+void version_duty_named(struct version_duty *duty)
+{
+	plan_soon(duty);
+}
+
+static void on_need(struct weight_board_listener *listener,
+		    const struct weight_need *need)
+{
+	struct version_duty *duty =
+		(struct version_duty *)((char *)listener -
+					offsetof(struct version_duty,
+						 board_listener));
+	int32_t index = index_of_model(duty, need->model);
+
+	if (index < 0 && duty->need_count == PLAN_MODELS_MAX)
+		return;
+	if (index < 0)
+		index = (int32_t)duty->need_count++;
+	duty->needs[index] = *need;
+	duty->need_ns[index] = now_ns(duty);
+	plan_soon(duty);
+}
+
+static struct version_duty *fleet_duty(struct fleet_listener *listener)
+{
+	return (struct version_duty *)((char *)listener -
+				       offsetof(struct version_duty,
+						fleet_listener));
+}
+
+static void on_server_changed(struct fleet_listener *listener,
+			      struct fleet_server *server)
+{
+	(void)server;
+	plan_soon(fleet_duty(listener));
+}
+
+static void on_server_removed(struct fleet_listener *listener,
+			      struct fleet_server *server)
+{
+	struct version_duty *duty = fleet_duty(listener);
+	struct duty_engine *engine = duty->engines;
+
+	while (engine && engine->server != server)
+		engine = engine->next;
+	if (engine)
+		free_engine(engine);
+	plan_soon(duty);
+}
+
+static struct version_duty *lease_duty(struct duty_lease_listener *listener)
+{
+	return (struct version_duty *)((char *)listener -
+				       offsetof(struct version_duty,
+						lease_listener));
+}
+
+static void on_gained(struct duty_lease_listener *listener, uint64_t fence)
+{
+	struct version_duty *duty = lease_duty(listener);
+
+	duty->active = 1;
+	duty->fence = fence;
+	plan_soon(duty);
+}
+
+/* What another holder does meanwhile is learnt from the engines' entries. */
+static void on_lost(struct duty_lease_listener *listener)
+{
+	struct version_duty *duty = lease_duty(listener);
+
+	duty->active = 0;
+	for (struct duty_engine *e = duty->engines; e; e = e->next) {
+		cancel_calls(e);
+		e->orders = -1;
+		e->known_model[0] = '\0';
+	}
+}
+
+void version_duty_init(struct version_duty *duty, struct timer_service *timers,
+		       struct duty_lease *lease, struct weight_board *board,
+		       struct duty_port *port, struct fleet *fleet,
+		       struct config_holder *config,
+		       struct named_versions *named, const char *holder,
+		       struct record_log *log, struct counter_set *counters)
+{
+	memset(duty, 0, sizeof(*duty));
+	duty->timers = timers;
+	duty->clock = timers->clock;
+	duty->lease = lease;
+	duty->board = board;
+	duty->port = port;
+	duty->fleet = fleet;
+	duty->config = config;
+	duty->named = named;
+	duty->holder = holder;
+	duty->log = log;
+	duty->load_ns = FIRST_LOAD_NS;
+	duty->needs = xcalloc(PLAN_MODELS_MAX, sizeof(*duty->needs));
+	duty->need_ns = xcalloc(PLAN_MODELS_MAX, sizeof(*duty->need_ns));
+	duty->lease_listener.gained = on_gained;
+	duty->lease_listener.lost = on_lost;
+	duty_lease_add_listener(lease, &duty->lease_listener);
+	duty->board_listener.need = on_need;
+	weight_board_add_listener(board, &duty->board_listener);
+	duty->fleet_listener.changed = on_server_changed;
+	duty->fleet_listener.removed = on_server_removed;
+	fleet_add_listener(fleet, &duty->fleet_listener);
+	duty->orders = counter_get(counters, "weight_orders_total");
+	duty->loads = counter_get(counters, "weight_loads_total");
+	duty->failed_orders =
+		counter_get(counters, "weight_orders_failed_total");
+}
+
+void version_duty_finish(struct version_duty *duty)
+{
+	struct duty_engine *engine = duty->engines;
+
+	timer_unsubscribe(duty->timers, &duty->soon);
+	while (engine) {
+		struct duty_engine *next = engine->next;
+
+		free_engine(engine);
+		engine = next;
+	}
+	free(duty->needs);
+	free(duty->need_ns);
+}
--- /dev/null
+++ b/duty/version_duty.h
@@ -0,0 +1,58 @@
+#ifndef DUTY_VERSION_DUTY_H
+#define DUTY_VERSION_DUTY_H
+
+#include "base/record_log.h"
+#include "duty/duty_lease.h"
+#include "duty/weight_board.h"
+#include "entry/config_holder.h"
+#include "entry/named_versions.h"
+#include "fleet/fleet.h"
+#include "port/duty_port.h"
+
+/*
+ * Lets engines load the weights that trainers have named, while this daemon
+ * holds the duty: decides by policy/version_plan.h, gives the orders, and
+ * watches each load to its end.
+ */
+struct duty_engine;
+
+struct version_duty {
+	struct duty_lease_listener lease_listener;
+	struct weight_board_listener board_listener;
+	struct fleet_listener fleet_listener;
+	struct duty_lease *lease;
+	struct weight_board *board;
+	struct duty_port *port;
+	struct fleet *fleet;
+	struct config_holder *config;
+	struct named_versions *named;
+	struct timer_service *timers;
+	struct clock *clock;
+	struct record_log *log;
+	const char *holder;
+	struct duty_engine *engines;
+	struct weight_need *needs; /* one a model */
+	int64_t *need_ns; /* when each was heard */
+	uint32_t need_count;
+	struct timer soon;
+	int soon_pending;
+	int active;
+	uint64_t fence;
+	double load_ns; /* how long a load takes, observed */
+	struct counter *orders;
+	struct counter *loads;
+	struct counter *failed_orders;
+};
+
+void version_duty_init(struct version_duty *duty, struct timer_service *timers,
+		       struct duty_lease *lease, struct weight_board *board,
+		       struct duty_port *port, struct fleet *fleet,
+		       struct config_holder *config,
+		       struct named_versions *named, const char *holder,
+		       struct record_log *log, struct counter_set *counters);
+void version_duty_finish(struct version_duty *duty);
+
+/* A newer version was named. */
+void version_duty_named(struct version_duty *duty);
+
+#endif
--- /dev/null
+++ b/duty/weight_board.c
@@ -0,0 +1,185 @@
+#include "duty/weight_board.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "proto/topic.pb-c.h"
+
+#define WEIGHT_TOPIC "keyed.weights"
+#define NEED_KEY "need/"
+#define LOAD_KEY "load/"
+#define WATCH_NS (1500 * NS_PER_MS)
+#define TIMEOUT_NS (600 * NS_PER_MS)
+/* A few records come with each step of a trainer. */
+#define PAUSE_NS (20 * NS_PER_MS)
+
+static struct weight_board *board_of(struct keyed_follower *follower)
+{
+	return (struct weight_board *)follower;
+}
+
+static void take_need(struct weight_board *board, const void *value, size_t len)
+{
+	Currant__Topic__WeightNeed *message =
+		currant__topic__weight_need__unpack(NULL, len, value);
+	struct weight_need need;
+
+	if (!message)
+		return;
+	memset(&need, 0, sizeof(need));
+	need.min_version = message->min_version;
+	need.named_version = message->named_version;
+	need.tokens = message->tokens;
+	need.single_version = message->single_version;
+	if (!copy_text(need.model, sizeof(need.model), message->model) &&
+	    !copy_text(need.service, sizeof(need.service), message->service))
+		for (struct weight_board_listener *l = board->listeners; l;
+		     l = l->next)
+			if (l->need)
+				l->need(l, &need);
+	currant__topic__weight_need__free_unpacked(message, NULL);
+}
+
+static void take_load(struct weight_board *board, const void *value, size_t len)
+{
+	Currant__Topic__WeightLoad *message =
+		currant__topic__weight_load__unpack(NULL, len, value);
+	struct weight_load load;
+
+	if (!message)
+		return;
+	memset(&load, 0, sizeof(load));
+	load.version = message->version;
+	load.loaded = message->loaded;
+	if (!copy_text(load.engine, sizeof(load.engine), message->engine) &&
+	    !copy_text(load.model, sizeof(load.model), message->model))
+		for (struct weight_board_listener *l = board->listeners; l;
+		     l = l->next)
+			if (l->load)
+				l->load(l, &load);
+	currant__topic__weight_load__free_unpacked(message, NULL);
+}
+
+static void on_put(struct keyed_follower *follower, const char *key,
+		   const void *value, size_t len, uint64_t offset)
+{
+	(void)offset;
+	if (!strncmp(key, NEED_KEY, strlen(NEED_KEY)))
+		take_need(board_of(follower), value, len);
+	else if (!strncmp(key, LOAD_KEY, strlen(LOAD_KEY)))
+		take_load(board_of(follower), value, len);
+}
+
+static void on_drop(struct keyed_follower *follower, const char *key,
+		    uint64_t offset)
+{
+	(void)follower;
+	(void)key;
+	(void)offset;
+}
+
+static const struct keyed_follower_vtable follower_vtable = {
+	.put = on_put,
+	.drop = on_drop,
+};
+
+void weight_board_init(struct weight_board *board, struct topic_log *log,
+		       struct timer_service *timers, const char *writer_name,
+		       struct counter_set *counters)
+{
+	struct keyed_follower_settings settings = {
+		.topic = WEIGHT_TOPIC,
+		.pause_ns = PAUSE_NS,
+		.watch_ns = WATCH_NS,
+		.timeout_ns = TIMEOUT_NS,
+	};
+
+	memset(board, 0, sizeof(*board));
+	keyed_follower_init(&board->follower, &follower_vtable, log, timers,
+			    &settings, counters);
+	topic_writer_init(&board->writer, log, timers, WEIGHT_TOPIC, 0,
+			  writer_name, counters);
+}
+
+void weight_board_finish(struct weight_board *board)
+{
+	keyed_follower_finish(&board->follower);
+	topic_writer_finish(&board->writer);
+}
+
+void weight_board_start(struct weight_board *board)
+{
+	keyed_follower_start(&board->follower);
+}
+
+void weight_board_add_listener(struct weight_board *board,
+			       struct weight_board_listener *listener)
+{
+	listener->next = board->listeners;
+	board->listeners = listener;
+}
+
+static void on_written(struct topic_write *write,
+		       enum topic_write_outcome outcome)
+{
+	(void)outcome; /* the next one makes up for it, or engines' entries */
+	strbuf_finish(&write->records);
+	free(write);
+}
+
+static void say(struct weight_board *board, const char *prefix,
+		const char *name, const struct strbuf *value)
+{
+	struct topic_write *write = xcalloc(1, sizeof(*write));
+	char key[2 * WEIGHT_NAME_BYTES];
+
+	snprintf(key, sizeof(key), "%s%s", prefix, name);
+	strbuf_init(&write->records);
+	topic_add_keyed(&write->records, key, value->buf, value->len);
+	write->record_count = 1;
+	write->done = on_written;
+	topic_writer_add(&board->writer, write);
+}
+
+void weight_board_say_need(struct weight_board *board,
+			   const struct weight_need *need, const char *host)
+{
+	Currant__Topic__WeightNeed message = CURRANT__TOPIC__WEIGHT_NEED__INIT;
+	struct strbuf value;
+
+	message.model = (char *)need->model;
+	message.service = (char *)need->service;
+	message.min_version = need->min_version;
+	message.named_version = need->named_version;
+	message.tokens = need->tokens;
+	message.single_version = need->single_version;
+	message.host = (char *)host;
+	strbuf_init(&value);
+	strbuf_grow(&value,
+		    currant__topic__weight_need__get_packed_size(&message));
+	value.len = currant__topic__weight_need__pack(&message,
+						      (uint8_t *)value.buf);
+	say(board, NEED_KEY, need->model, &value);
+	strbuf_finish(&value);
+}
+
+void weight_board_say_load(struct weight_board *board,
+			   const struct weight_load *load)
+{
+	Currant__Topic__WeightLoad message = CURRANT__TOPIC__WEIGHT_LOAD__INIT;
+	struct strbuf value;
+
+	message.engine = (char *)load->engine;
+	message.model = (char *)load->model;
+	message.version = load->version;
+	message.loaded = load->loaded;
+	strbuf_init(&value);
+	strbuf_grow(&value,
+		    currant__topic__weight_load__get_packed_size(&message));
+	value.len = currant__topic__weight_load__pack(&message,
+						      (uint8_t *)value.buf);
+	say(board, LOAD_KEY, load->engine, &value);
+	strbuf_finish(&value);
+}
--- /dev/null
+++ b/duty/weight_board.h
@@ -0,0 +1,58 @@
+#ifndef DUTY_WEIGHT_BOARD_H
+#define DUTY_WEIGHT_BOARD_H
+
+#include "store/keyed_follower.h"
+#include "store/topic_writer.h"
+
+/*
+ * Where hosts tell each other about weights: what the batches of each model
+ * need, and which engine loads or has loaded what. The entries of engines say
+ * the same a second or two later.
+ */
+#define WEIGHT_NAME_BYTES 64
+
+struct weight_need {
+	char model[WEIGHT_NAME_BYTES];
+	char service[WEIGHT_NAME_BYTES];
+	uint64_t min_version;
+	uint64_t named_version;
+	uint64_t tokens;
+	int single_version;
+};
+
+struct weight_load {
+	char engine[WEIGHT_NAME_BYTES];
+	char model[WEIGHT_NAME_BYTES];
+	uint64_t version;
+	int loaded;
+};
+
+struct weight_board_listener {
+	/* Each may be NULL. */
+	void (*need)(struct weight_board_listener *listener,
+		     const struct weight_need *need);
+	void (*load)(struct weight_board_listener *listener,
+		     const struct weight_load *load);
+	struct weight_board_listener *next;
+};
+
+struct weight_board {
+	struct keyed_follower follower;
+	struct topic_writer writer;
+	struct weight_board_listener *listeners;
+};
+
+void weight_board_init(struct weight_board *board, struct topic_log *log,
+		       struct timer_service *timers, const char *writer_name,
+		       struct counter_set *counters);
+void weight_board_finish(struct weight_board *board);
+void weight_board_start(struct weight_board *board);
+void weight_board_add_listener(struct weight_board *board,
+			       struct weight_board_listener *listener);
+
+void weight_board_say_need(struct weight_board *board,
+			   const struct weight_need *need, const char *host);
+void weight_board_say_load(struct weight_board *board,
+			   const struct weight_load *load);
+
+#endif
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <signal.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -9,6 +10,7 @@
 
 #include "base/alloc.h"
 #include "platform/settings_decode.h"
+#include "policy/partition_owner.h"
 
 #define UPKEEP_PERIOD_NS (500 * NS_PER_MS)
 /* A backend server or the store is one or two milliseconds away. */
@@ -30,6 +32,12 @@
 #define STOP_IDLE_MS 1200
 #define STOP_LAST_MS 500
 #define STOP_POLL_NS (50 * NS_PER_MS)
+/* Rank among the hosts for the duties; partitions have smaller numbers. */
+#define DUTY_RANK 1000000
+/* How many hosts may claim the duties, and how far apart they do. */
+#define DUTY_CANDIDATES 5
+#define DUTY_STEP_NS (250 * NS_PER_MS)
+#define HOSTS_RANKED 512
 
 static int64_t now_ns(struct entry_daemon *daemon)
 {
@@ -94,6 +102,29 @@
 	report_life(daemon, ready ? "ready" : "not_ready", NULL);
 }
 
+/* The strongest hosts by rank claim the duties first. */
+static void update_rank(struct entry_daemon *daemon)
+{
+	struct owner_candidate candidates[HOSTS_RANKED];
+	const struct host_table *hosts = &daemon->discovery.hosts;
+	uint32_t count = 0;
+	uint32_t position;
+
+	for (const struct entry_host *h = hosts->first;
+	     h && count < HOSTS_RANKED; h = h->next) {
+		candidates[count].name = h->name;
+		candidates[count].cpu_milli = h->cpu_milli;
+		candidates[count].takes_calls =
+			entry_host_takes_calls(h, now_ns(daemon));
+		count++;
+	}
+	position = partition_owner_position(candidates, count, DUTY_RANK,
+					    daemon->settings.name);
+	duty_lease_set_wanted(&daemon->duty_lease,
+			      daemon->is_ready && position < DUTY_CANDIDATES,
+			      position * DUTY_STEP_NS);
+}
+
 static int64_t file_mtime_ns(const char *path)
 {
 	struct stat info;
@@ -127,6 +158,7 @@
 
 	(void)at_ns;
 	update_ready(daemon);
+	update_rank(daemon);
 	if (file_mtime_ns(daemon->settings_path) != daemon->settings_mtime_ns)
 		reload(daemon, "file_changed");
 }
@@ -176,6 +208,8 @@
 	update_ready(daemon);
 	discovery_set_leaving(&daemon->discovery);
 	partition_keeper_leave(&daemon->partition_keeper);
+	duty_lease_release(&daemon->duty_lease);
+	usage_counter_flush(&daemon->usage_counter);
 	net_server_drain(&daemon->callers);
 	on_stop_step(daemon, daemon->leaving_since_ns);
 }
@@ -213,12 +247,26 @@
 		   &store);
 }
 
+static struct entry_daemon *hears_versions(struct operator_feed_listener *from)
+{
+	return (struct entry_daemon *)((char *)from -
+				       offsetof(struct entry_daemon,
+						version_listener));
+}
+
 static void on_version(struct operator_feed_listener *listener,
 		       const char *model, uint64_t version)
 {
-	(void)listener;
-	(void)model;
-	(void)version;
+	struct entry_daemon *daemon = hears_versions(listener);
+	struct record record;
+
+	if (!named_versions_put(&daemon->named, model, version))
+		return;
+	record_begin(&record, &daemon->log, "weights", "named");
+	record_text(&record, "model", model);
+	record_int(&record, "version", (int64_t)version);
+	record_end(&record);
+	version_duty_named(&daemon->version_duty);
 }
 
 static void init_feeds(struct entry_daemon *daemon)
@@ -237,22 +285,29 @@
 	copy_text(own.region, sizeof(own.region), settings->region);
 	copy_text(own.caller_address, sizeof(own.caller_address),
 		  settings->callers);
-	daemon->versions.on_version = on_version;
+	daemon->version_listener.on_version = on_version;
 	operator_feed_init(&daemon->operator_feed, &daemon->store.base, timers,
-			   &daemon->config, &daemon->versions, &daemon->log,
-			   &daemon->counters);
+			   &daemon->config, &daemon->version_listener,
+			   &daemon->log, &daemon->counters);
 	server_feed_init(&daemon->server_feed, &daemon->store.base, timers,
 			 &daemon->fleet, &daemon->log, &daemon->counters);
 	discovery_init(&daemon->discovery, &daemon->store.base, timers, &own,
 		       &daemon->log, &daemon->counters);
 }
 
+/* A name that no other writer to the same partition has. */
+static void writer_name(const struct entry_daemon *daemon, const char *part,
+			char *out)
+{
+	snprintf(out, TOPIC_NAME_BYTES, "%.32s-%016" PRIx64 "-%s",
+		 daemon->settings.name, daemon->incarnation, part);
+}
+
 static void init_batches(struct entry_daemon *daemon)
 {
 	char writer[TOPIC_NAME_BYTES];
 
-	snprintf(writer, sizeof(writer), "%.40s-%016" PRIx64,
-		 daemon->settings.name, daemon->incarnation);
+	writer_name(daemon, "batch", writer);
 	batch_set_init(&daemon->batches, &daemon->store.base,
 		       &daemon->reactor.timers, writer, &daemon->counters);
 	batch_api_init(&daemon->batch_api, &daemon->reactor, &daemon->batches,
@@ -268,6 +323,86 @@
 			      &daemon->discovery, &daemon->log);
 }
 
+static struct entry_daemon *hears_loads(struct weight_board_listener *from)
+{
+	return (struct entry_daemon *)((char *)from -
+				       offsetof(struct entry_daemon,
+						load_listener));
+}
+
+static void on_load(struct weight_board_listener *listener,
+		    const struct weight_load *load)
+{
+	struct entry_daemon *daemon = hears_loads(listener);
+
+	batch_runner_note_load(&daemon->batch_runner, load->engine, load->model,
+			       load->version, load->loaded);
+}
+
+static struct entry_daemon *hears_needs(struct batch_need_listener *from)
+{
+	return (struct entry_daemon *)((char *)from -
+				       offsetof(struct entry_daemon,
+						need_listener));
+}
+
+/* Whoever holds the duty learns what the batches of the model need. */
+static void on_need(struct batch_need_listener *listener,
+		    const struct batch *batch, const char *service,
+		    uint64_t tokens)
+{
+	struct entry_daemon *daemon = hears_needs(listener);
+	struct weight_need need = {
+		.min_version = batch->min_version,
+		.named_version =
+			named_versions_get(&daemon->named, batch->model),
+		.tokens = tokens,
+		.single_version = batch->single_version,
+	};
+
+	if (!batch->model[0] ||
+	    copy_text(need.model, sizeof(need.model), batch->model) ||
+	    copy_text(need.service, sizeof(need.service), service))
+		return;
+	weight_board_say_need(&daemon->weight_board, &need,
+			      daemon->settings.name);
+}
+
+static void init_duties(struct entry_daemon *daemon)
+{
+	const struct entry_settings *settings = &daemon->settings;
+	struct timer_service *timers = &daemon->reactor.timers;
+	struct topic_log *store = &daemon->store.base;
+	char writer[TOPIC_NAME_BYTES];
+
+	duty_calls_init(&daemon->duty_calls, &daemon->reactor,
+			&daemon->store_pool, &daemon->server_pool,
+			settings->duties);
+	duty_lease_init(&daemon->duty_lease, store, timers, settings->name,
+			daemon->incarnation, &daemon->log, &daemon->counters);
+	writer_name(daemon, "count", writer);
+	usage_counter_init(&daemon->usage_counter, store, timers,
+			   settings->name, daemon->incarnation, writer,
+			   settings->usage_window_s, &daemon->counters);
+	writer_name(daemon, "close", writer);
+	usage_duty_init(&daemon->usage_duty, store, timers, &daemon->duty_lease,
+			&daemon->duty_calls.base, settings->name, writer,
+			settings->usage_window_s, settings->usage_late_s,
+			&daemon->log, &daemon->counters);
+	writer_name(daemon, "board", writer);
+	weight_board_init(&daemon->weight_board, store, timers, writer,
+			  &daemon->counters);
+	daemon->load_listener.load = on_load;
+	weight_board_add_listener(&daemon->weight_board,
+				  &daemon->load_listener);
+	daemon->need_listener.accepted = on_need;
+	daemon->batch_runner.needs = &daemon->need_listener;
+	version_duty_init(&daemon->version_duty, timers, &daemon->duty_lease,
+			  &daemon->weight_board, &daemon->duty_calls.base,
+			  &daemon->fleet, &daemon->config, &daemon->named,
+			  settings->name, &daemon->log, &daemon->counters);
+}
+
 static void init_callers(struct entry_daemon *daemon)
 {
 	const struct entry_settings *settings = &daemon->settings;
@@ -365,12 +500,16 @@
 	init_store(daemon);
 	init_feeds(daemon);
 	init_batches(daemon);
+	init_duties(daemon);
 	init_callers(daemon);
+	daemon->forwarder.runs = &daemon->usage_counter.base;
 	if (init_ports(daemon, err) || init_signals(daemon, err))
 		return -1;
 	operator_feed_start(&daemon->operator_feed);
 	server_feed_start(&daemon->server_feed);
 	discovery_start(&daemon->discovery);
+	duty_lease_start(&daemon->duty_lease);
+	weight_board_start(&daemon->weight_board);
 	timer_subscribe(&daemon->reactor.timers, &daemon->upkeep,
 			UPKEEP_PERIOD_NS, on_upkeep, daemon);
 	return 0;
@@ -387,6 +526,11 @@
 	batch_api_finish(&daemon->batch_api);
 	batch_runner_finish(&daemon->batch_runner);
 	partition_keeper_finish(&daemon->partition_keeper);
+	version_duty_finish(&daemon->version_duty);
+	weight_board_finish(&daemon->weight_board);
+	usage_duty_finish(&daemon->usage_duty);
+	usage_counter_finish(&daemon->usage_counter);
+	duty_lease_finish(&daemon->duty_lease);
 	batch_set_finish(&daemon->batches);
 	net_server_finish(&daemon->callers);
 	net_server_finish(&daemon->ready);
@@ -400,6 +544,7 @@
 	net_pool_finish(&daemon->store_pool);
 	fleet_finish(&daemon->fleet);
 	config_holder_finish(&daemon->config);
+	named_versions_finish(&daemon->named);
 	for (uint32_t i = 0; i < ARRAY_SIZE(daemon->signals); i++)
 		if (daemon->signals[i])
 			reactor_off_signal(daemon->signals[i]);
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -4,10 +4,15 @@
 #include "batch/batch_api.h"
 #include "batch/partition_keeper.h"
 #include "discovery/discovery.h"
+#include "duty/usage_counter.h"
+#include "duty/usage_duty.h"
+#include "duty/version_duty.h"
 #include "entry/caller_port.h"
 #include "entry/entry_settings.h"
+#include "entry/named_versions.h"
 #include "entry/service_port.h"
 #include "forward/forward.h"
+#include "platform/duty_calls.h"
 #include "platform/operator_feed.h"
 #include "platform/server_feed.h"
 #include "platform/store.h"
@@ -29,7 +34,8 @@
 	struct config_holder config;
 	struct fleet fleet;
 	struct operator_feed operator_feed;
-	struct operator_feed_listener versions;
+	struct named_versions named;
+	struct operator_feed_listener version_listener;
 	struct server_feed server_feed;
 	struct discovery discovery;
 	struct forwarder forwarder;
@@ -37,6 +43,14 @@
 	struct batch_api batch_api;
 	struct batch_runner batch_runner;
 	struct partition_keeper partition_keeper;
+	struct duty_calls duty_calls;
+	struct duty_lease duty_lease;
+	struct usage_counter usage_counter;
+	struct usage_duty usage_duty;
+	struct weight_board weight_board;
+	struct weight_board_listener load_listener;
+	struct batch_need_listener need_listener;
+	struct version_duty version_duty;
 	struct caller_port caller_port;
 	struct service_port service_port;
 	struct net_server callers;
--- a/net/net_client.c
+++ b/net/net_client.c
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base/alloc.h"
 #include "base/bug.h"
@@ -415,6 +416,15 @@
 	connect_link(link);
 }
 
+/* The other side drops the request at once, and unsent bytes are gone. */
+static void reset_on_close(struct net_link *link)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(bufferevent_getfd(link->bev), SOL_SOCKET, SO_LINGER, &reset,
+		   sizeof(reset));
+}
+
 void net_call_cancel(struct net_call *call)
 {
 	struct net_link *link = call->link;
@@ -423,6 +433,7 @@
 		BUG("cancelling a call that does not run");
 	call->link = NULL;
 	link->call = NULL;
+	reset_on_close(link);
 	free_link(link);
 }
 
--- a/policy/partition_owner.c
+++ b/policy/partition_owner.c
@@ -20,30 +20,54 @@
 	return ((double)(hash >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
 }
 
+static double score(const struct owner_candidate *candidate, uint32_t partition)
+{
+	return -(double)(candidate->cpu_milli + 1) /
+	       log(draw(candidate->name, partition));
+}
+
+/* Whether `a` comes before `b`. */
+static int goes_before(const struct owner_candidate *a,
+		       const struct owner_candidate *b, uint32_t partition)
+{
+	double score_a = score(a, partition);
+	double score_b = score(b, partition);
+
+	if (score_a != score_b)
+		return score_a > score_b;
+	return strcmp(a->name, b->name) < 0;
+}
+
 int32_t partition_owner_rank(const struct owner_candidate *candidates,
 			     uint32_t count, uint32_t partition)
 {
-	double best_score = 0;
 	int32_t best = -1;
 
-	for (uint32_t i = 0; i < count; i++) {
-		double score;
-
-		if (!candidates[i].takes_calls)
-			continue;
-		score = -(double)(candidates[i].cpu_milli + 1) /
-			log(draw(candidates[i].name, partition));
-		if (best >= 0 &&
-		    (score < best_score ||
-		     (score == best_score &&
-		      strcmp(candidates[i].name, candidates[best].name) > 0)))
-			continue;
-		best = (int32_t)i;
-		best_score = score;
-	}
+	for (uint32_t i = 0; i < count; i++)
+		if (candidates[i].takes_calls &&
+		    (best < 0 ||
+		     goes_before(&candidates[i], &candidates[best], partition)))
+			best = (int32_t)i;
 	return best;
 }
 
+uint32_t partition_owner_position(const struct owner_candidate *candidates,
+				  uint32_t count, uint32_t partition,
+				  const char *name)
+{
+	const struct owner_candidate *own = NULL;
+	uint32_t before = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(candidates[i].name, name))
+			own = &candidates[i];
+	for (uint32_t i = 0; i < count; i++)
+		if (candidates[i].takes_calls &&
+		    (!own || goes_before(&candidates[i], own, partition)))
+			before++;
+	return before;
+}
+
 int partition_owner_claims(const struct owner_view *view)
 {
 	if (!view->is_ready || view->owner_is_self || view->owner_is_alive)
--- a/policy/partition_owner.h
+++ b/policy/partition_owner.h
@@ -24,6 +24,11 @@
 int32_t partition_owner_rank(const struct owner_candidate *candidates,
 			     uint32_t count, uint32_t partition);
 
+/* How many candidates come before `name` by that rank. */
+uint32_t partition_owner_position(const struct owner_candidate *candidates,
+				  uint32_t count, uint32_t partition,
+				  const char *name);
+
 struct owner_view {
 	int is_ready; /* this host */
 	int owner_is_self; /* by the log, and this very process */
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &currant__topic__duty_claim__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__topic__weight_need__init
+                     (Currant__Topic__WeightNeed         *message)
+{
+  static const Currant__Topic__WeightNeed init_value = CURRANT__TOPIC__WEIGHT_NEED__INIT;
+  *message = init_value;
+}
+size_t currant__topic__weight_need__get_packed_size
+                     (const Currant__Topic__WeightNeed *message)
+{
+  assert(message->base.descriptor == &currant__topic__weight_need__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__weight_need__pack
+                     (const Currant__Topic__WeightNeed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__weight_need__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__weight_need__pack_to_buffer
+                     (const Currant__Topic__WeightNeed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__weight_need__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__WeightNeed *
+       currant__topic__weight_need__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__WeightNeed *)
+     protobuf_c_message_unpack (&currant__topic__weight_need__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__weight_need__free_unpacked
+                     (Currant__Topic__WeightNeed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__weight_need__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__topic__weight_load__init
+                     (Currant__Topic__WeightLoad         *message)
+{
+  static const Currant__Topic__WeightLoad init_value = CURRANT__TOPIC__WEIGHT_LOAD__INIT;
+  *message = init_value;
+}
+size_t currant__topic__weight_load__get_packed_size
+                     (const Currant__Topic__WeightLoad *message)
+{
+  assert(message->base.descriptor == &currant__topic__weight_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__weight_load__pack
+                     (const Currant__Topic__WeightLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__weight_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__weight_load__pack_to_buffer
+                     (const Currant__Topic__WeightLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__weight_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__WeightLoad *
+       currant__topic__weight_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__WeightLoad *)
+     protobuf_c_message_unpack (&currant__topic__weight_load__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__weight_load__free_unpacked
+                     (Currant__Topic__WeightLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__weight_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__topic__usage_sum__init
                      (Currant__Topic__UsageSum         *message)
 {
@@ -792,7 +882,7 @@
   (ProtobufCMessageInit) currant__topic__host_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__duty_claim__field_descriptors[4] =
+static const ProtobufCFieldDescriptor currant__topic__duty_claim__field_descriptors[5] =
 {
   {
     "holder",
@@ -842,17 +932,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__DutyClaim, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__duty_claim__field_indices_by_name[] = {
   3,   /* field[3] = duration_ms */
   2,   /* field[2] = fence */
   0,   /* field[0] = holder */
   1,   /* field[1] = incarnation */
+  4,   /* field[4] = sequence */
 };
 static const ProtobufCIntRange currant__topic__duty_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor currant__topic__duty_claim__descriptor =
 {
@@ -862,13 +965,206 @@
   "Currant__Topic__DutyClaim",
   "currant.topic",
   sizeof(Currant__Topic__DutyClaim),
-  4,
+  5,
   currant__topic__duty_claim__field_descriptors,
   currant__topic__duty_claim__field_indices_by_name,
   1,  currant__topic__duty_claim__number_ranges,
   (ProtobufCMessageInit) currant__topic__duty_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__topic__weight_need__field_descriptors[7] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "min_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, min_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, named_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "single_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, single_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__weight_need__field_indices_by_name[] = {
+  6,   /* field[6] = host */
+  1,   /* field[1] = min_version */
+  0,   /* field[0] = model */
+  2,   /* field[2] = named_version */
+  5,   /* field[5] = service */
+  4,   /* field[4] = single_version */
+  3,   /* field[3] = tokens */
+};
+static const ProtobufCIntRange currant__topic__weight_need__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor currant__topic__weight_need__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.WeightNeed",
+  "WeightNeed",
+  "Currant__Topic__WeightNeed",
+  "currant.topic",
+  sizeof(Currant__Topic__WeightNeed),
+  7,
+  currant__topic__weight_need__field_descriptors,
+  currant__topic__weight_need__field_indices_by_name,
+  1,  currant__topic__weight_need__number_ranges,
+  (ProtobufCMessageInit) currant__topic__weight_need__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__topic__weight_load__field_descriptors[4] =
+{
+  {
+    "engine",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightLoad, engine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightLoad, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightLoad, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightLoad, loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__weight_load__field_indices_by_name[] = {
+  0,   /* field[0] = engine */
+  3,   /* field[3] = loaded */
+  1,   /* field[1] = model */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange currant__topic__weight_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor currant__topic__weight_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.WeightLoad",
+  "WeightLoad",
+  "Currant__Topic__WeightLoad",
+  "currant.topic",
+  sizeof(Currant__Topic__WeightLoad),
+  4,
+  currant__topic__weight_load__field_descriptors,
+  currant__topic__weight_load__field_indices_by_name,
+  1,  currant__topic__weight_load__number_ranges,
+  (ProtobufCMessageInit) currant__topic__weight_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__topic__usage_sum__field_descriptors[5] =
 {
   {
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct Currant__Topic__HostNotice Currant__Topic__HostNotice;
 typedef struct Currant__Topic__DutyClaim Currant__Topic__DutyClaim;
+typedef struct Currant__Topic__WeightNeed Currant__Topic__WeightNeed;
+typedef struct Currant__Topic__WeightLoad Currant__Topic__WeightLoad;
 typedef struct Currant__Topic__UsageSum Currant__Topic__UsageSum;
 typedef struct Currant__Topic__TeamCount Currant__Topic__TeamCount;
 typedef struct Currant__Topic__UsageClose Currant__Topic__UsageClose;
@@ -99,10 +101,59 @@
    * from when the holder sent it
    */
   uint32_t duration_ms;
+  /*
+   * of the holder's sends
+   */
+  uint64_t sequence;
 };
 #define CURRANT__TOPIC__DUTY_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__duty_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Topic keyed.weights, key: need/MODEL. What the batches of a model need, by
+ * the host that runs them.
+ */
+struct  Currant__Topic__WeightNeed
+{
+  ProtobufCMessage base;
+  char *model;
+  /*
+   * of its newest batch
+   */
+  uint64_t min_version;
+  /*
+   * the newest one known then
+   */
+  uint64_t named_version;
+  /*
+   * of that batch, expected
+   */
+  uint64_t tokens;
+  protobuf_c_boolean single_version;
+  char *service;
+  char *host;
+};
+#define CURRANT__TOPIC__WEIGHT_NEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__weight_need__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Topic keyed.weights, key: load/ENGINE. An engine loads weights, or has.
+ */
+struct  Currant__Topic__WeightLoad
+{
+  ProtobufCMessage base;
+  char *engine;
+  char *model;
+  uint64_t version;
+  protobuf_c_boolean loaded;
+};
+#define CURRANT__TOPIC__WEIGHT_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__weight_load__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -413,6 +464,44 @@
 void   currant__topic__duty_claim__free_unpacked
                      (Currant__Topic__DutyClaim *message,
                       ProtobufCAllocator *allocator);
+/* Currant__Topic__WeightNeed methods */
+void   currant__topic__weight_need__init
+                     (Currant__Topic__WeightNeed         *message);
+size_t currant__topic__weight_need__get_packed_size
+                     (const Currant__Topic__WeightNeed   *message);
+size_t currant__topic__weight_need__pack
+                     (const Currant__Topic__WeightNeed   *message,
+                      uint8_t             *out);
+size_t currant__topic__weight_need__pack_to_buffer
+                     (const Currant__Topic__WeightNeed   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__WeightNeed *
+       currant__topic__weight_need__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__weight_need__free_unpacked
+                     (Currant__Topic__WeightNeed *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__Topic__WeightLoad methods */
+void   currant__topic__weight_load__init
+                     (Currant__Topic__WeightLoad         *message);
+size_t currant__topic__weight_load__get_packed_size
+                     (const Currant__Topic__WeightLoad   *message);
+size_t currant__topic__weight_load__pack
+                     (const Currant__Topic__WeightLoad   *message,
+                      uint8_t             *out);
+size_t currant__topic__weight_load__pack_to_buffer
+                     (const Currant__Topic__WeightLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__WeightLoad *
+       currant__topic__weight_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__weight_load__free_unpacked
+                     (Currant__Topic__WeightLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Topic__UsageSum methods */
 void   currant__topic__usage_sum__init
                      (Currant__Topic__UsageSum         *message);
@@ -649,6 +738,12 @@
 typedef void (*Currant__Topic__DutyClaim_Closure)
                  (const Currant__Topic__DutyClaim *message,
                   void *closure_data);
+typedef void (*Currant__Topic__WeightNeed_Closure)
+                 (const Currant__Topic__WeightNeed *message,
+                  void *closure_data);
+typedef void (*Currant__Topic__WeightLoad_Closure)
+                 (const Currant__Topic__WeightLoad *message,
+                  void *closure_data);
 typedef void (*Currant__Topic__UsageSum_Closure)
                  (const Currant__Topic__UsageSum *message,
                   void *closure_data);
@@ -694,6 +789,8 @@
 extern const ProtobufCEnumDescriptor    currant__topic__item_state__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__host_notice__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__duty_claim__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__weight_need__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__weight_load__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__usage_sum__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__team_count__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__usage_close__descriptor;
