--- a/policy/version_plan.c
+++ b/policy/version_plan.c
@@ -109,7 +109,9 @@
 	for (uint32_t from = 0; from < model_count; from++) {
 		int32_t moved;
 
-		if (shares[from] <= 1 ||
+		/* The last engine is taken only from a model without batches.
+		 */
+		if (shares[from] <= (models[from].is_active ? 1u : 0u) ||
 		    (shares[from] - parts[from] < SURPLUS_TO_MOVE &&
 		     shares[to]))
 			continue;
--- /dev/null
+++ b/t/test-platform-codec.cc
@@ -0,0 +1,760 @@
+// What the platform's messages mean: tables of what is read and refused.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/rng.h"
+#include "batch/batch_draft.h"
+#include "entry/entry_config.h"
+#include "net/http_reader.h"
+#include "platform/base64.h"
+#include "platform/batch_codec.h"
+#include "platform/calls.h"
+#include "platform/config_decode.h"
+#include "platform/messages.h"
+#include "platform/server_decode.h"
+#include "platform/settings_decode.h"
+}
+
+namespace
+{
+
+const char settings_text[] = R"({
+  "node": "front-a-1", "zone": "a", "region": "r", "first_start": true,
+  "new_field": {"x": 1},
+  "listen": {"front": "10.1.0.7:8405", "ready": "10.1.0.7:8406",
+    "directory": "10.1.0.7:8404"},
+  "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": 280,
+    "max_fds": 8200},
+  "bounds": {"grace_s": 8, "lease_ms": 3000, "report_window_s": 5,
+    "usage_late_s": 10, "ttl_max_s": 5, "status_s": 120},
+  "platform": {"addr": "10.200.1.7:8408", "parts": 12,
+    "record_bytes": 262144, "call_bytes": 2097152},
+  "cloud": {"addr": "10.200.0.60:8408", "duties": ["metering"]}
+})";
+
+std::string replaced(const std::string &from, const std::string &to)
+{
+	std::string text = settings_text;
+	size_t at = text.find(from);
+
+	EXPECT_NE(std::string::npos, at) << from;
+	return text.replace(at, from.size(), to);
+}
+
+struct SettingsCase {
+	const char *name;
+	std::string text;
+	const char *error; // a part of it; "": valid
+};
+
+} // namespace
+
+TEST(PlatformSettings, AreReadWhole)
+{
+	struct entry_settings s;
+	struct error err = ERROR_INIT;
+
+	ASSERT_EQ(0, platform_settings_decode(settings_text,
+					      strlen(settings_text), &s, &err))
+		<< err.text;
+	EXPECT_STREQ("front-a-1", s.name);
+	EXPECT_STREQ("a", s.data_centre);
+	EXPECT_STREQ("10.1.0.7:8404", s.addresses);
+	EXPECT_STREQ("", s.metrics);
+	EXPECT_EQ(1, s.first_start);
+	EXPECT_EQ(12u, s.store_partitions);
+	EXPECT_EQ(UINT64_C(280) * 1024 * 1024, s.memory_bytes);
+	EXPECT_DOUBLE_EQ(0.5, s.cpu_share);
+	EXPECT_EQ(8000u, s.grace_ms);
+	EXPECT_EQ(5000u, s.address_ttl_max_ms);
+	EXPECT_EQ(120000u, s.results_keep_ms);
+	EXPECT_EQ(3000u, s.lease_ms);
+	EXPECT_EQ(1, s.reports_usage);
+	EXPECT_EQ(0, s.orders_servers);
+	EXPECT_EQ(4000u, s.ack_ms) << "left out";
+}
+
+TEST(PlatformSettings, AreRefusedWithTheFieldThatIsWrong)
+{
+	const SettingsCase cases[] = {
+		{ "no JSON", "{", "line" },
+		{ "no object", "[]", "no JSON object" },
+		{ "no name", replaced("\"node\": \"front-a-1\", ", ""),
+		  "'node' is missing" },
+		{ "empty name", replaced("\"front-a-1\"", "\"\""), "'node'" },
+		{ "address without a port",
+		  replaced("10.1.0.7:8405", "10.1.0.7"), "'listen.front'" },
+		{ "text for a number",
+		  replaced("\"parts\": 12", "\"parts\": \"12\""),
+		  "'platform.parts' is wrong; expected a whole number" },
+		{ "negative", replaced("280", "-1"), "'limits.memory_mb'" },
+		{ "no partitions", replaced("\"parts\": 12", "\"parts\": 0"),
+		  "'platform'" },
+		{ "no window",
+		  replaced("\"report_window_s\": 5", "\"report_window_s\": 0"),
+		  "report_window_s" },
+		{ "no flag", replaced("true", "7"), "'first_start'" },
+	};
+
+	for (const SettingsCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct entry_settings s;
+		struct error err = ERROR_INIT;
+
+		EXPECT_EQ(-1, platform_settings_decode(
+				      c.text.data(), c.text.size(), &s, &err));
+		EXPECT_NE(std::string::npos,
+			  std::string(err.text).find(c.error))
+			<< err.text;
+	}
+}
+
+namespace
+{
+
+const char config_text[] = R"({"version":7,"routes":[
+ {"name":"r1","host":"Ficu95.example","path_prefix":"/l/","type":"idempotent",
+  "timeout_ms":800,"goal_ms":150,"priority":2,"max_attempts":2,
+  "split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+ {"name":"r2","host":"ficu95.example","path_prefix":"/l/deep/",
+  "type":"non_idempotent","service":"a","public":true},
+ {"name":"r3","host":"ficu95.example","path_prefix":"/s/","type":"stream",
+  "service":"e","resumable":true,"sticky":true},
+ {"name":"r4","host":"ficu95.example","path_prefix":"/t/","type":"stream",
+  "service":"e"},
+ {"name":"r5","host":"ficu95.example","path_prefix":"/b/","type":"rollout",
+  "service":"e","retention_s":40.5,"due_ms":7500,"single_version":true},
+ {"name":"r6","host":"other.example","path_prefix":"/","type":"keyed",
+  "service":"a"}],
+ "services":[{"name":"e","max_conns":150,"engine":{"slots":12,
+  "kv_capacity":31960,"stride":43,"models":[{"name":"m0"},{"name":"m1"}]},
+  "scaling":{"min":1,"max":6,"boot_s":4.5,"spot_price":0.18,
+  "zone_prices":{"x":1.0,"y":0.8}}},{"name":"a","max_conns":100}],
+ "limits":{"max_header_bytes":1000,"max_body_bytes":2000,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},
+  {"name":"t2","api_keys":["k3"]}]})";
+
+struct entry_config *decode(const std::string &text, struct error *err)
+{
+	return platform_config_decode(text.data(), text.size(), err);
+}
+
+struct RouteCase {
+	const char *host;
+	const char *target;
+	const char *route; // NULL: none
+};
+
+} // namespace
+
+TEST(PlatformConfig, IsDecodedIntoRoutesTeamsAndServices)
+{
+	struct error err = ERROR_INIT;
+	struct entry_config *config = decode(config_text, &err);
+	const struct entry_service *engines;
+
+	ASSERT_NE(nullptr, config) << err.text;
+	EXPECT_EQ(7u, config->version);
+	ASSERT_EQ(6u, config->route_count);
+	EXPECT_EQ(REQUEST_IDEMPOTENT, config->routes[0].kind);
+	EXPECT_EQ(2u, config->routes[0].target_count);
+	EXPECT_EQ(REQUEST_ONCE, config->routes[1].kind);
+	EXPECT_EQ(1, config->routes[1].is_public);
+	EXPECT_EQ(REQUEST_RESUMABLE, config->routes[2].kind);
+	EXPECT_EQ(REQUEST_STREAM, config->routes[3].kind);
+	EXPECT_EQ(REQUEST_BATCH, config->routes[4].kind);
+	EXPECT_EQ(40500u, config->routes[4].retention_ms);
+	EXPECT_EQ(1, config->routes[4].single_version);
+	EXPECT_EQ(REQUEST_ONCE, config->routes[5].kind) << "not known";
+	engines = entry_config_service(config, "e");
+	ASSERT_NE(nullptr, engines);
+	EXPECT_EQ(1, engines->is_engine);
+	EXPECT_EQ(2u, engines->model_count);
+	EXPECT_EQ(43u, engines->tokens_per_event);
+	EXPECT_EQ(1, engines->scaling.allowed);
+	EXPECT_EQ(4500u, engines->scaling.boot_ms);
+	EXPECT_EQ(2u, engines->scaling.data_centre_count);
+	EXPECT_EQ(0, entry_config_service(config, "a")->scaling.allowed);
+	EXPECT_STREQ("t1", entry_config_team(config, "k2")->name);
+	EXPECT_STREQ("t2", entry_config_team(config, "k3")->name);
+	EXPECT_EQ(nullptr, entry_config_team(config, "k4"));
+	EXPECT_EQ(1000u, config->limits.max_head_bytes);
+	entry_config_release(config);
+}
+
+TEST(PlatformConfig, TheLongestPrefixOfTheHostDecides)
+{
+	const RouteCase cases[] = {
+		{ "ficu95.example", "/l/2f", "r1" },
+		{ "FICU95.example:80", "/l/2f?x=/l/deep/", "r1" },
+		{ "ficu95.example", "/l/", "r1" },
+		{ "ficu95.example", "/l", nullptr },
+		{ "ficu95.example", "/l/deep/er/2", "r2" },
+		{ "ficu95.example", "/l/deep", "r1" },
+		{ "ficu95.example", "/x/", nullptr },
+		{ "ficu95.example", "/", nullptr },
+		{ "other.example", "/anything", "r6" },
+		{ "none.example", "/l/2f", nullptr },
+		{ "", "/l/2f", nullptr },
+	};
+	struct error err = ERROR_INIT;
+	struct entry_config *config = decode(config_text, &err);
+
+	ASSERT_NE(nullptr, config) << err.text;
+	for (const RouteCase &c : cases) {
+		SCOPED_TRACE(std::string(c.host) + c.target);
+		const struct entry_route *route =
+			entry_config_route(config, c.host, c.target);
+
+		if (c.route)
+			EXPECT_STREQ(c.route, route ? route->name : "none");
+		else
+			EXPECT_EQ(nullptr, route);
+	}
+	EXPECT_STREQ("a", entry_route_service(&config->routes[0], 0.5));
+	EXPECT_STREQ("b", entry_route_service(&config->routes[0], 0.95));
+	entry_config_release(config);
+}
+
+TEST(PlatformConfig, IsRefusedWholeIfAPartCannotBeRead)
+{
+	const std::vector<std::string> malformed = {
+		"",
+		"[]",
+		"{}",
+		R"({"version":"7"})",
+		R"({"version":7,"routes":[{"name":"r"}]})",
+		R"({"version":7,"routes":[{"name":"r","host":"h",)"
+		R"("path_prefix":"/","split":[]}]})",
+		R"({"version":7,"services":[{}]})",
+	};
+
+	for (const std::string &text : malformed) {
+		SCOPED_TRACE(text);
+		struct error err = ERROR_INIT;
+
+		EXPECT_EQ(nullptr, decode(text, &err));
+		EXPECT_NE('\0', err.text[0]);
+	}
+}
+
+namespace
+{
+
+const char server_text[] = R"({"service":"s","addr":"10.128.0.9:8080",
+ "zone":"a","version":"v1","slots":12,"state":"ready","cold_left_ms":0,
+ "stage":"both","models":[{"name":"m","version":3,"adapters":[]}],"seq":4,
+ "born":1769344716005})";
+
+struct ServerCase {
+	const char *name;
+	std::string from, to;
+	bool valid;
+};
+
+} // namespace
+
+// Another writer may have left anything under a server's key.
+TEST(PlatformServer, IsReadOnlyIfItNamesAServerToUse)
+{
+	const ServerCase cases[] = {
+		{ "as it is", "", "", true },
+		{ "leaving", "\"ready\"", "\"draining\"", true },
+		{ "unknown state", "\"ready\"", "\"resting\"", false },
+		{ "no state", "\"state\":\"ready\",", "", false },
+		{ "no service", "\"service\":\"s\",", "", false },
+		{ "service is a number", "\"s\"", "1", false },
+		{ "no address", "\"addr\":\"10.128.0.9:8080\",", "", false },
+		{ "address without a port", ":8080", "", false },
+		{ "address is a name", "10.128.0.9", "host", false },
+		{ "port 0", ":8080", ":0", false },
+		{ "slots are text", "12", "\"12\"", false },
+		{ "no slots", "\"slots\":12,", "", false },
+		{ "negative slots", "12", "-1", false },
+		{ "count is text", "\"seq\":4", "\"seq\":\"4\"", false },
+		{ "models are text",
+		  R"([{"name":"m","version":3,"adapters":[]}])", "\"m\"",
+		  false },
+		{ "a model without a version", "\"version\":3,", "", false },
+		{ "cut", "\"born\":1769344716005}", "", false },
+		{ "no start is said", ",\n \"born\":1769344716005", "", true },
+	};
+
+	for (const ServerCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		std::string text = server_text;
+		struct error err = ERROR_INIT;
+		struct server_entry entry;
+		size_t at = text.find(c.from);
+
+		if (at != std::string::npos)
+			text.replace(at, c.from.size(), c.to);
+		EXPECT_EQ(c.valid ? 0 : -1,
+			  platform_server_decode("i-1", text.data(),
+						 text.size(), &entry, &err));
+		if (!c.valid) {
+			EXPECT_NE('\0', err.text[0]);
+			continue;
+		}
+		EXPECT_EQ(3u, server_entry_version(&entry, "m"));
+		EXPECT_EQ(0u, server_entry_version(&entry, "n"));
+		server_entry_finish(&entry);
+	}
+}
+
+namespace
+{
+
+struct ReadHead {
+	struct http_reader reader;
+};
+
+int keep_head(struct http_reader *)
+{
+	return 0;
+}
+
+int keep_body(struct http_reader *, const char *, size_t)
+{
+	return 0;
+}
+
+const struct http_reader_vtable head_vtable = { keep_head, keep_body };
+
+// A head as it comes from the net.
+class Head
+{
+      public:
+	explicit Head(const std::string &text, bool is_response = false)
+	{
+		size_t used;
+
+		http_reader_init(&reader_, &head_vtable, is_response, 65536);
+		http_reader_feed(&reader_, text.data(), text.size(), &used);
+	}
+
+	~Head()
+	{
+		http_reader_finish(&reader_);
+	}
+
+	const struct http_head *get() const
+	{
+		return &reader_.head;
+	}
+
+      private:
+	struct http_reader reader_;
+};
+
+struct RequestCase {
+	const char *name;
+	const char *fields;
+	int result;
+};
+
+} // namespace
+
+TEST(PlatformMessages, RequestsAreReadFromTheirFields)
+{
+	Head head("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c41\r\n"
+		  "X-Deadline-Ms: 800\r\nApi-Key: secret\r\nX-Model: m\r\n"
+		  "X-Token-Count: 540,400\r\n"
+		  "X-Prompt-Prefix: 9c2e41:300,5d07b8:240\r\n"
+		  "X-Length-Hint: 120\r\nLast-Event-Id: 7\r\n\r\n");
+	struct caller_request r;
+
+	ASSERT_EQ(0, platform_read_request(head.get(), &r));
+	EXPECT_STREQ("9c41", r.id);
+	EXPECT_STREQ("secret", r.secret);
+	EXPECT_EQ(800, r.time_left_ms);
+	EXPECT_EQ(540u, r.prompt_tokens);
+	EXPECT_EQ(400u, r.max_output_tokens);
+	EXPECT_EQ(120u, r.length_hint);
+	EXPECT_EQ(7, r.last_event_id);
+	ASSERT_EQ(2u, r.part_count);
+	EXPECT_EQ(UINT64_C(0x9c2e41), r.parts[0].id);
+	EXPECT_EQ(240u, r.parts[1].tokens);
+}
+
+TEST(PlatformMessages, MalformedFieldsAreRefused)
+{
+	const RequestCase cases[] = {
+		{ "nothing said", "", 0 },
+		{ "time is text", "X-Deadline-Ms: soon\r\n", -1 },
+		{ "time is negative", "X-Deadline-Ms: -1\r\n", -1 },
+		{ "time is huge", "X-Deadline-Ms: 99999999999999999999\r\n",
+		  0 },
+		{ "two ids", "X-Attempt-Id: a\r\nX-Attempt-Id: b\r\n", -1 },
+		{ "two keys", "Api-Key: a\r\nApi-Key: b\r\n", -1 },
+		{ "two hosts", "Host: a\r\nHost: b\r\n", -1 },
+		{ "half a token count", "X-Token-Count: 540\r\n", -1 },
+		{ "odd prefix", "X-Prompt-Prefix: zz,1\r\n", 0 },
+	};
+
+	for (const RequestCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		Head head(std::string("GET /x HTTP/1.1\r\n") + c.fields +
+			  "\r\n");
+		struct caller_request r;
+
+		EXPECT_EQ(c.result, platform_read_request(head.get(), &r));
+	}
+}
+
+TEST(PlatformMessages, PassedOnRequestsCarryNeitherKeyNorOwnClaims)
+{
+	Head head("POST /x?y=%20z HTTP/1.1\r\nHost: h\r\nApi-Key: secret\r\n"
+		  "X-Tenant: forged\r\nX-Expect-Instance: forged\r\n"
+		  "X-Deadline-Ms: 99999\r\nX-Other: kept\r\n"
+		  "X-Request-Priority: 0\r\nConnection: X-Gone, close\r\n"
+		  "X-Gone: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	struct server_request request = {};
+	struct strbuf out;
+
+	request.time_left_ms = 700;
+	request.server_id = "i-1";
+	request.team = "t1";
+	request.priority = -1;
+	request.last_event_id = -1;
+	strbuf_init(&out);
+	platform_write_request(&out, head.get(), &request, 3);
+	EXPECT_STREQ("POST /x?y=%20z HTTP/1.1\r\nHost: h\r\nX-Other: kept\r\n"
+		     "X-Deadline-Ms: 700\r\nX-Expect-Instance: i-1\r\n"
+		     "X-Tenant: t1\r\nContent-Length: 3\r\n\r\n",
+		     out.buf);
+	strbuf_finish(&out);
+}
+
+namespace
+{
+
+struct AnswerCase {
+	const char *name;
+	const char *status;
+	const char *fields;
+	bool not_run, other_server, other_version, other_request, receipt;
+};
+
+} // namespace
+
+TEST(PlatformMessages, AnswersSayWhetherTheRequestRan)
+{
+	const AnswerCase cases[] = {
+		{ "whole", "200 OK",
+		  "X-Attempt-Id: 9c\r\nX-Response-Stamp: s\r\n", false, false,
+		  false, false, true },
+		{ "another request's", "200 OK",
+		  "X-Attempt-Id: other\r\nX-Response-Stamp: s\r\n", false,
+		  false, false, true, true },
+		{ "full", "503 Full", "X-Not-Run: 1\r\n", true, false, false,
+		  false, false },
+		{ "failed", "500 Oops", "X-Attempt-Id: 9c\r\n", false, false,
+		  false, false, false },
+		{ "another server", "421 Misdirected", "X-Instance-Id: i-2\r\n",
+		  true, true, false, false, false },
+		{ "another version", "421 Misdirected", "X-Not-Run: 1\r\n",
+		  true, false, true, false, false },
+	};
+
+	for (const AnswerCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		Head head(std::string("HTTP/1.1 ") + c.status + "\r\n" +
+				  c.fields + "Content-Length: 0\r\n\r\n",
+			  true);
+		struct server_answer answer;
+
+		platform_read_answer(head.get(), "9c", &answer);
+		EXPECT_EQ(c.not_run, answer.not_run != 0);
+		EXPECT_EQ(c.other_server, answer.other_server != 0);
+		EXPECT_EQ(c.other_version, answer.other_version != 0);
+		EXPECT_EQ(c.other_request, answer.other_request != 0);
+		EXPECT_EQ(c.receipt, answer.has_receipt != 0);
+	}
+}
+
+TEST(PlatformMessages, EventsAreReadLineByLine)
+{
+	struct server_event event;
+
+	strbuf_init(&event.data);
+	EXPECT_EQ(0, platform_read_event("x-weight-versions: 4\nid: 12\n"
+					 "data: one\r\ndata: two\n\n",
+					 54, &event));
+	EXPECT_EQ(12, event.id);
+	EXPECT_EQ(4u, event.weight_version);
+	EXPECT_STREQ("one\ntwo", event.data.buf);
+	EXPECT_EQ(0, platform_read_event(": note\n\n", 8, &event));
+	EXPECT_EQ(-1, event.id);
+	EXPECT_EQ(-1, platform_read_event("id: x\n\n", 7, &event));
+	strbuf_finish(&event.data);
+}
+
+namespace
+{
+
+struct CallCase {
+	const char *line;
+	int result;
+	enum caller_call_kind kind;
+	const char *batch;
+	const char *item;
+	uint32_t after;
+};
+
+} // namespace
+
+TEST(PlatformCalls, AreToldFromRequestsThatAreRouted)
+{
+	const CallCase cases[] = {
+		{ "GET /v1/lots/ab12?after=12", 0, CALL_BATCH_READ, "ab12", "",
+		  12 },
+		{ "GET /v1/lots/ab12", 0, CALL_BATCH_READ, "ab12", "", 0 },
+		{ "GET /v1/lots/ab12?after=x", -1, CALL_BATCH_READ, "", "", 0 },
+		{ "GET /v1/lots/", -1, CALL_BATCH_READ, "", "", 0 },
+		{ "GET /v1/lots/a/b", -1, CALL_BATCH_READ, "", "", 0 },
+		{ "GET /v1/lots/%61b", 0, CALL_BATCH_READ, "ab", "", 0 },
+		{ "GET /v1/lots/%6", -1, CALL_BATCH_READ, "", "", 0 },
+		{ "DELETE /v1/lots/ab12", 0, CALL_BATCH_END, "ab12", "", 0 },
+		{ "GET /v1/items/ab12?id=e5", 0, CALL_ITEM_BODY, "ab12", "e5",
+		  0 },
+		{ "GET /v1/items/ab12", -1, CALL_ITEM_BODY, "", "", 0 },
+		{ "GET /v1/ready", 0, CALL_READY, "", "", 0 },
+		{ "GET /v1/readyness", 0, CALL_PASS_ON, "", "", 0 },
+		{ "GET /v1/resolve?name=h&region=r&zone=z", 0, CALL_ADDRESSES,
+		  "", "", 0 },
+		{ "POST /v1/lots/ab12", 0, CALL_PASS_ON, "", "", 0 },
+		{ "GET /lohu930/2f", 0, CALL_PASS_ON, "", "", 0 },
+	};
+
+	for (const CallCase &c : cases) {
+		SCOPED_TRACE(c.line);
+		Head head(std::string(c.line) + " HTTP/1.1\r\n\r\n");
+		struct caller_call call;
+
+		ASSERT_EQ(c.result, platform_read_call(head.get(), &call));
+		EXPECT_EQ(c.kind, call.kind);
+		if (c.result)
+			continue;
+		EXPECT_STREQ(c.batch, call.batch);
+		EXPECT_STREQ(c.item, call.item);
+		EXPECT_EQ(c.after, call.after);
+	}
+}
+
+namespace
+{
+
+const char batch_text[] = R"({"step":7,"model":"m","min_version":6,
+ "target_groups":12,"items":[{"id":"e5","path":"/p/3/91",
+ "headers":{"X-Model":"m","X-Token-Count":"540,400",
+ "X-Prompt-Prefix":"9c:300,5d:240","X-Length-Hint":"77","X-Tenant":"forged",
+ "Content-Length":"9","Host":"forged"},"body":"q83vEjRWeJA=","tokens":940,
+ "group":"g1"},{"id":"e6","path":"/p/3/92","body":""}]})";
+
+struct BatchCase {
+	const char *name;
+	std::string from, to;
+	bool valid;
+};
+
+} // namespace
+
+TEST(PlatformBatch, IsDecodedWithWhatItsItemsSay)
+{
+	struct error err = ERROR_INIT;
+	struct batch_draft draft;
+
+	ASSERT_EQ(0, platform_batch_decode(batch_text, strlen(batch_text),
+					   &draft, &err))
+		<< err.text;
+	ASSERT_EQ(2u, draft.item_count);
+	EXPECT_EQ(7u, draft.step);
+	EXPECT_EQ(6u, draft.min_version);
+	EXPECT_EQ(8u, draft.items[0].body.len);
+	EXPECT_EQ(540u, draft.items[0].prompt_tokens);
+	EXPECT_EQ(77u, draft.items[0].length_hint);
+	EXPECT_STREQ("X-Model: m\r\nX-Token-Count: 540,400\r\n"
+		     "X-Prompt-Prefix: 9c:300,5d:240\r\nX-Length-Hint: 77\r\n",
+		     draft.items[0].fields.buf);
+	EXPECT_STREQ("", draft.items[1].model);
+	batch_draft_finish(&draft);
+}
+
+TEST(PlatformBatch, IsRefusedIfAnItemIsMalformed)
+{
+	const BatchCase cases[] = {
+		{ "as it is", "", "", true },
+		{ "cut", "]}", "", false },
+		{ "no items", "\"items\"", "\"others\"", false },
+		{ "an id twice", "\"e6\"", "\"e5\"", false },
+		{ "no id", "\"id\":\"e6\",", "", false },
+		{ "id with a line end", "\"e6\"", "\"e\\r\\n6\"", false },
+		{ "path without a slash", "/p/3/92", "p", false },
+		{ "path with a space", "/p/3/92", "/p 3", false },
+		{ "no base64", "q83vEjRWeJA=", "q83vEjRWeJA", false },
+		{ "header with a line end", "\"77\"", "\"7\\r\\nX: 7\"",
+		  false },
+		{ "header that is a number", "\"77\"", "77", false },
+		{ "header name with a colon", "X-Length-Hint", "X:", false },
+		{ "half a token count", "540,400", "540", false },
+	};
+
+	for (const BatchCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		std::string text = batch_text;
+		struct error err = ERROR_INIT;
+		struct batch_draft draft;
+		size_t at = text.find(c.from);
+
+		ASSERT_NE(std::string::npos, at);
+		text.replace(at, c.from.size(), c.to);
+		EXPECT_EQ(c.valid ? 0 : -1,
+			  platform_batch_decode(text.data(), text.size(),
+						&draft, &err));
+		if (c.valid)
+			batch_draft_finish(&draft);
+	}
+}
+
+TEST(PlatformBatch, ResultsAreWrittenWithTheirVersions)
+{
+	uint64_t versions[] = { 6, 7 };
+	struct batch_result_view views[2] = {};
+	struct strbuf out;
+
+	views[0].id = "e5";
+	views[0].is_complete = 1;
+	views[0].text = "a\n\"b\"";
+	views[0].text_len = 5;
+	views[0].versions = versions;
+	views[0].version_count = 2;
+	views[1].id = "e6";
+	views[1].text = "";
+	strbuf_init(&out);
+	ASSERT_EQ(0, platform_batch_write_results(&out, 40, 12, views, 2));
+	EXPECT_STREQ("{\"total\":40,\"next_token\":14,\"results\":["
+		     "{\"id\":\"e5\",\"state\":\"complete\","
+		     "\"text\":\"a\\n\\\"b\\\"\",\"versions\":[6,7]},"
+		     "{\"id\":\"e6\",\"state\":\"dead_letter\",\"text\":\"\","
+		     "\"versions\":[]}]}",
+		     out.buf);
+	strbuf_finish(&out);
+}
+
+TEST(PlatformBase64, RoundTripsAndRefusesOddTexts)
+{
+	struct strbuf text, bytes;
+
+	strbuf_init(&text);
+	strbuf_init(&bytes);
+	for (size_t len = 0; len < 20; len++) {
+		std::string data(len, '\xfe');
+
+		strbuf_reset(&text);
+		strbuf_reset(&bytes);
+		encode_base64(data.data(), len, &text);
+		EXPECT_EQ(0, decode_base64(text.buf, &bytes));
+		EXPECT_EQ(data, std::string(bytes.buf, bytes.len));
+	}
+	for (const char *odd : { "a", "ab", "abc", "a===", "ab=c", "!abc" }) {
+		SCOPED_TRACE(odd);
+		strbuf_reset(&bytes);
+		EXPECT_EQ(-1, decode_base64(odd, &bytes));
+		EXPECT_EQ(0u, bytes.len);
+	}
+	strbuf_finish(&text);
+	strbuf_finish(&bytes);
+}
+
+namespace
+{
+
+// Bytes of a valid text, changed, cut and doubled at random.
+std::string mutated(const std::string &text, struct rng *rng)
+{
+	std::string out = text;
+	uint64_t changes = 1 + rng_below(rng, 4);
+
+	while (changes--) {
+		size_t at = (size_t)rng_below(rng, out.size() + 1);
+
+		switch (rng_below(rng, 4)) {
+		case 0:
+			out.insert(at, 1, (char)rng_below(rng, 256));
+			break;
+		case 1:
+			out.erase(at, (size_t)rng_below(rng, 12));
+			break;
+		case 2:
+			out.insert(at, out.substr(at, 20));
+			break;
+		default:
+			if (at < out.size())
+				out[at] = (char)rng_below(rng, 256);
+			break;
+		}
+	}
+	return out;
+}
+
+} // namespace
+
+// Each reader bears any bytes; what it takes it also gives back.
+TEST(PlatformFuzz, ReadersBearAnyBytes)
+{
+	struct rng rng;
+
+	rng_init(&rng, 20261204);
+	for (int i = 0; i < 3000; i++) {
+		std::string text = mutated(config_text, &rng);
+		struct error err = ERROR_INIT;
+		struct entry_settings settings;
+		struct server_entry entry;
+		struct batch_draft draft;
+
+		entry_config_release(decode(text, &err));
+		text = mutated(server_text, &rng);
+		if (!platform_server_decode("i", text.data(), text.size(),
+					    &entry, &err))
+			server_entry_finish(&entry);
+		text = mutated(batch_text, &rng);
+		if (!platform_batch_decode(text.data(), text.size(), &draft,
+					   &err))
+			batch_draft_finish(&draft);
+		text = mutated(settings_text, &rng);
+		platform_settings_decode(text.data(), text.size(), &settings,
+					 &err);
+	}
+}
+
+TEST(PlatformFuzz, HeadsBearAnyBytes)
+{
+	const std::string request =
+		"POST /v1/lots/ab?after=1 HTTP/1.1\r\nHost: h\r\n"
+		"X-Attempt-Id: 9c\r\nX-Token-Count: 1,2\r\n"
+		"X-Prompt-Prefix: 9c2e41:300,5d07b8:240\r\n"
+		"Content-Length: 3\r\n\r\nabc";
+	const std::string answer =
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\n"
+		"X-Server-Load: 3,0,8\r\nX-Weight-Versions: 4\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+	struct rng rng;
+
+	rng_init(&rng, 7);
+	for (int i = 0; i < 3000; i++) {
+		Head head(mutated(request, &rng));
+		Head reply(mutated(answer, &rng), true);
+		struct caller_request caller;
+		struct server_answer out;
+		struct caller_call call;
+
+		if (!platform_read_request(head.get(), &caller))
+			platform_read_call(head.get(), &call);
+		platform_read_answer(reply.get(), "9c", &out);
+	}
+}
--- /dev/null
+++ b/t/test-policy-entry.cc
@@ -0,0 +1,603 @@
+// Decisions of entry daemons: retries, choices of servers, engines and hosts,
+// weights. Each as a table of cases.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+#include "policy/address_answer.h"
+#include "policy/attempt_plan.h"
+#include "policy/item_order.h"
+#include "policy/item_place.h"
+#include "policy/partition_owner.h"
+#include "policy/plain_choice.h"
+#include "policy/version_plan.h"
+}
+
+namespace
+{
+
+struct PlanCase {
+	const char *name;
+	struct attempt_state state;
+	enum attempt_outcome outcome;
+	enum attempt_action action;
+};
+
+struct attempt_state state(int may_repeat, int may_have_run, uint32_t sent,
+			   uint32_t running = 0, int stale = 0, int over = 0)
+{
+	struct attempt_state s = {};
+
+	s.may_repeat = may_repeat;
+	s.may_have_run = may_have_run;
+	s.sent = sent;
+	s.max_attempts = 2;
+	s.running = running;
+	s.stale_retries = stale;
+	s.out_of_time = over;
+	return s;
+}
+
+} // namespace
+
+TEST(AttemptPlan, SaysNotRunOnlyWhereItIsTrue)
+{
+	const PlanCase cases[] = {
+		{ "answered", state(0, 1, 1), ATTEMPT_ANSWERED,
+		  ATTEMPT_DELIVER },
+		{ "refused by the server", state(0, 0, 1), ATTEMPT_NOT_RUN,
+		  ATTEMPT_AGAIN },
+		{ "refused by the last server", state(0, 0, 2), ATTEMPT_NOT_RUN,
+		  ATTEMPT_REFUSE },
+		{ "not reached", state(0, 0, 1), ATTEMPT_NOT_SENT,
+		  ATTEMPT_AGAIN },
+		{ "lost, may run once", state(0, 1, 1), ATTEMPT_LOST,
+		  ATTEMPT_UNKNOWN },
+		{ "lost, may run again", state(1, 1, 1), ATTEMPT_LOST,
+		  ATTEMPT_AGAIN },
+		{ "lost at the last server", state(1, 1, 2), ATTEMPT_LOST,
+		  ATTEMPT_UNKNOWN },
+		{ "not reached, after one was lost", state(1, 1, 2),
+		  ATTEMPT_NOT_SENT, ATTEMPT_UNKNOWN },
+		{ "refused, after one was lost, may run once", state(0, 1, 2),
+		  ATTEMPT_NOT_RUN, ATTEMPT_UNKNOWN },
+		{ "failed, may run again", state(1, 1, 1), ATTEMPT_FAILED,
+		  ATTEMPT_AGAIN },
+		{ "failed, may run once", state(0, 1, 1), ATTEMPT_FAILED,
+		  ATTEMPT_DELIVER },
+		{ "failed at the last server", state(1, 1, 2), ATTEMPT_FAILED,
+		  ATTEMPT_DELIVER },
+		{ "another try runs", state(1, 1, 2, 1), ATTEMPT_LOST,
+		  ATTEMPT_WAIT },
+		{ "closed kept connection", state(1, 1, 1), ATTEMPT_STALE,
+		  ATTEMPT_SAME },
+		{ "closed kept connections", state(1, 1, 1, 0, 2),
+		  ATTEMPT_STALE, ATTEMPT_AGAIN },
+		{ "closed kept connection, may run once", state(0, 1, 1),
+		  ATTEMPT_STALE, ATTEMPT_UNKNOWN },
+		{ "time is over", state(1, 0, 1, 0, 0, 1), ATTEMPT_NOT_RUN,
+		  ATTEMPT_REFUSE },
+		{ "time is over, may have run", state(1, 1, 1, 0, 0, 1),
+		  ATTEMPT_LOST, ATTEMPT_UNKNOWN },
+	};
+
+	for (const PlanCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		EXPECT_EQ(c.action, attempt_plan(&c.state, c.outcome));
+	}
+}
+
+// All states: "not run" never after a try that may have run.
+TEST(AttemptPlan, NeverRefusesWhatMayHaveRun)
+{
+	for (int bits = 0; bits < 1 << 6; bits++) {
+		struct attempt_state s =
+			state(bits & 1, 1, 1 + (bits >> 1 & 1), bits >> 2 & 1,
+			      bits >> 3 & 1 ? 2 : 0, bits >> 4 & 1);
+
+		for (int o = ATTEMPT_ANSWERED; o <= ATTEMPT_LOST; o++)
+			EXPECT_NE(ATTEMPT_REFUSE,
+				  attempt_plan(&s, (enum attempt_outcome)o));
+	}
+}
+
+namespace
+{
+
+struct plain_server server(uint32_t own, uint32_t reported = 0,
+			   int64_t age_ms = -1, int local = 0, int usable = 1,
+			   int tried = 0)
+{
+	struct plain_server s = {};
+
+	s.slots = 6;
+	s.own_running = own;
+	s.reported = reported;
+	s.reported_age_ns = age_ms < 0 ? -1 : age_ms * NS_PER_MS;
+	s.same_data_centre = local;
+	s.usable = usable;
+	s.tried = tried;
+	return s;
+}
+
+struct ChoiceCase {
+	const char *name;
+	std::vector<struct plain_server> servers;
+	int32_t chosen;
+};
+
+} // namespace
+
+TEST(PlainChoice, TakesTheLeastLoadedThenTheNearest)
+{
+	const ChoiceCase cases[] = {
+		{ "none", {}, -1 },
+		{ "none usable", { server(0, 0, -1, 0, 0) }, -1 },
+		{ "all tried", { server(0, 0, -1, 0, 1, 1) }, -1 },
+		{ "least own", { server(4), server(1), server(3) }, 1 },
+		{ "a fresh report counts",
+		  { server(0, 6, 10, 1), server(1, 0, 10) },
+		  1 },
+		{ "an old report does not",
+		  { server(0, 6, 5000, 1), server(0, 0, 10) },
+		  0 },
+		{ "the nearest of equal ones",
+		  { server(0), server(0, 0, -1, 1), server(0) },
+		  1 },
+		{ "a little more load is equal",
+		  { server(0), server(1, 0, -1, 1) },
+		  1 },
+		{ "much more is not", { server(0), server(4, 0, -1, 1) }, 0 },
+	};
+
+	for (const ChoiceCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct rng rng;
+
+		rng_init(&rng, 1);
+		EXPECT_EQ(c.chosen,
+			  plain_choice(c.servers.data(),
+				       (uint32_t)c.servers.size(), &rng));
+	}
+}
+
+TEST(PlainChoice, SpreadsOverEqualServers)
+{
+	std::vector<struct plain_server> servers(4, server(0));
+	std::map<int32_t, int> chosen;
+	struct rng rng;
+
+	rng_init(&rng, 5);
+	for (int i = 0; i < 4000; i++)
+		chosen[plain_choice(servers.data(), 4, &rng)]++;
+	for (int i = 0; i < 4; i++)
+		EXPECT_NEAR(1000, chosen[i], 150);
+}
+
+namespace
+{
+
+struct AddressCase {
+	const char *name;
+	std::vector<struct address_candidate> hosts;
+	std::vector<uint32_t> expected;
+};
+
+} // namespace
+
+TEST(AddressAnswer, NamesTheNearestThatTakeCalls)
+{
+	const AddressCase cases[] = {
+		{ "own data centre",
+		  { { "a", "r", 1 }, { "b", "r", 1 }, { "a", "r", 1 } },
+		  { 0, 2 } },
+		{ "one alone is too few",
+		  { { "a", "r", 1 }, { "b", "r", 1 }, { "b", "q", 1 } },
+		  { 0, 1 } },
+		{ "those that take no calls are left out",
+		  { { "a", "r", 0 }, { "a", "r", 1 }, { "b", "r", 1 } },
+		  { 1, 2 } },
+		{ "far ones where nothing else is",
+		  { { "x", "q", 1 }, { "a", "r", 1 } },
+		  { 0, 1 } },
+		{ "none", { { "a", "r", 0 } }, {} },
+	};
+
+	for (const AddressCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		uint32_t out[ADDRESS_ANSWER_MAX];
+		struct rng rng;
+		uint32_t count;
+
+		rng_init(&rng, 1);
+		count = address_answer(c.hosts.data(), (uint32_t)c.hosts.size(),
+				       "a", "r", &rng, out, ADDRESS_ANSWER_MAX);
+		EXPECT_EQ(c.expected, std::vector<uint32_t>(out, out + count));
+	}
+}
+
+TEST(AddressAnswer, NamesABoundedNumberAtRandom)
+{
+	std::vector<struct address_candidate> hosts(200, { "a", "r", 1 });
+	uint32_t out[ADDRESS_ANSWER_MAX];
+	std::map<uint32_t, int> named;
+	struct rng rng;
+
+	rng_init(&rng, 3);
+	for (int i = 0; i < 500; i++) {
+		uint32_t count = address_answer(hosts.data(), 200, "a", "r",
+						&rng, out, ADDRESS_ANSWER_MAX);
+
+		ASSERT_EQ((uint32_t)ADDRESS_ANSWER_MAX, count);
+		for (uint32_t at = 0; at < count; at++)
+			named[out[at]]++;
+	}
+	for (uint32_t i = 0; i < 200; i++)
+		EXPECT_NEAR(160, named[i], 60);
+}
+
+namespace
+{
+
+struct OwnerCase {
+	const char *name;
+	struct owner_view view;
+	int claims;
+};
+
+} // namespace
+
+TEST(PartitionOwner, ClaimsWhatNobodyRuns)
+{
+	const OwnerCase cases[] = {
+		{ "first, no owner", { 1, 0, 0, 1, 0, 500, 500 }, 1 },
+		{ "not first, no owner", { 1, 0, 0, 0, 0, 500, 500 }, 0 },
+		{ "not first, has the batch", { 1, 0, 0, 0, 1, 500, 500 }, 1 },
+		{ "weak, has the batch", { 1, 0, 0, 0, 1, 120, 500 }, 0 },
+		{ "owner lives", { 1, 0, 1, 1, 1, 500, 500 }, 0 },
+		{ "owns it", { 1, 1, 0, 1, 1, 500, 500 }, 0 },
+		{ "not ready", { 0, 0, 0, 1, 1, 500, 500 }, 0 },
+	};
+
+	for (const OwnerCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		EXPECT_EQ(c.claims, partition_owner_claims(&c.view));
+	}
+}
+
+TEST(PartitionOwner, RanksAlikeEverywhereAndByProcessor)
+{
+	std::vector<std::string> names;
+	std::vector<struct owner_candidate> hosts;
+	std::map<int32_t, int> owned;
+
+	for (int i = 0; i < 10; i++)
+		names.push_back("host-" + std::to_string(i));
+	for (int i = 0; i < 10; i++)
+		hosts.push_back(
+			{ names[i].c_str(), i < 5 ? 100u : 500u, i != 9 });
+	for (uint32_t p = 0; p < 3000; p++) {
+		std::vector<struct owner_candidate> turned(hosts.rbegin(),
+							   hosts.rend());
+		int32_t rank = partition_owner_rank(hosts.data(), 10, p);
+
+		owned[rank]++;
+		EXPECT_EQ(9 - rank, partition_owner_rank(turned.data(), 10, p));
+		EXPECT_EQ(0u, partition_owner_position(
+				      hosts.data(), 10, p,
+				      names[(size_t)rank].c_str()));
+	}
+	EXPECT_EQ(0, owned[9]);
+	for (int i = 0; i < 5; i++)
+		EXPECT_NEAR(3000 * 100 / 2500, owned[i], 60);
+	for (int i = 5; i < 9; i++)
+		EXPECT_NEAR(3000 * 500 / 2500, owned[i], 120);
+}
+
+// The loss of one host moves its partitions alone.
+TEST(PartitionOwner, MovesOnlyWhatTheLostHostHad)
+{
+	std::vector<struct owner_candidate> hosts = { { "a", 500, 1 },
+						      { "b", 500, 1 },
+						      { "c", 500, 1 } };
+
+	for (uint32_t p = 0; p < 500; p++) {
+		int32_t before, after;
+
+		hosts[1].takes_calls = 1;
+		before = partition_owner_rank(hosts.data(), 3, p);
+		hosts[1].takes_calls = 0;
+		after = partition_owner_rank(hosts.data(), 3, p);
+		if (before != 1) {
+			EXPECT_EQ(before, after);
+		}
+	}
+}
+
+namespace
+{
+
+struct item_rank rank(uint64_t step, int required, double left,
+		      uint32_t group_left = 4, uint32_t number = 0)
+{
+	struct item_rank r = {};
+
+	r.step = step;
+	r.is_required = required;
+	r.tokens_left = left;
+	r.group_left = group_left;
+	r.number = number;
+	return r;
+}
+
+struct OrderCase {
+	const char *name;
+	struct item_rank first, second;
+};
+
+} // namespace
+
+TEST(ItemOrder, PutsWhatEndsTheStepFirst)
+{
+	const OrderCase cases[] = {
+		{ "required groups", rank(2, 1, 10), rank(2, 0, 900) },
+		{ "the older step", rank(2, 0, 10), rank(3, 0, 900) },
+		{ "the longer item", rank(2, 0, 900), rank(2, 0, 10) },
+		{ "the group that needs less", rank(2, 0, 9, 1, 5),
+		  rank(2, 0, 9, 3, 1) },
+		{ "the lower number", rank(2, 0, 9, 3, 1),
+		  rank(2, 0, 9, 3, 2) },
+	};
+
+	for (const OrderCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		EXPECT_LT(item_order_compare(&c.first, &c.second), 0);
+		EXPECT_GT(item_order_compare(&c.second, &c.first), 0);
+	}
+}
+
+TEST(ItemOrder, CorrectsEstimatesByWhatCame)
+{
+	EXPECT_DOUBLE_EQ(100, item_expected_tokens(100, 1000, 0));
+	EXPECT_DOUBLE_EQ(100, item_expected_tokens(100, 1000, 60));
+	EXPECT_DOUBLE_EQ(300, item_expected_tokens(100, 1000, 200));
+	EXPECT_DOUBLE_EQ(1000, item_expected_tokens(100, 1000, 900));
+	EXPECT_DOUBLE_EQ(50, item_expected_tokens(100, 50, 0));
+	EXPECT_DOUBLE_EQ(250, item_expected_tokens(0, 1000, 0));
+}
+
+namespace
+{
+
+struct place_engine engine(uint32_t running, double speed = 1,
+			   double memory = 1e9, int usable = 1)
+{
+	struct place_engine e = {};
+
+	e.usable = usable;
+	e.slots = 12;
+	e.running = running;
+	e.memory_tokens = memory;
+	e.speed = speed;
+	return e;
+}
+
+struct PlaceCase {
+	const char *name;
+	std::vector<struct place_engine> engines;
+	int32_t chosen;
+};
+
+} // namespace
+
+TEST(ItemPlace, PutsAnItemWhereItEndsFirst)
+{
+	const PlaceCase cases[] = {
+		{ "none", {}, -1 },
+		{ "the emptiest", { engine(5), engine(2), engine(9) }, 1 },
+		{ "not a slow one", { engine(0, 0.3), engine(6) }, 1 },
+		{ "a slow one before a full one",
+		  { engine(0, 0.8), engine(12) },
+		  0 },
+		{ "not without memory", { engine(0, 1, 100), engine(9) }, 1 },
+		{ "not an unusable one",
+		  { engine(0, 1, 1e9, 0), engine(9) },
+		  1 },
+	};
+	struct place_item item = {};
+
+	item.tokens_left = 500;
+	item.memory_tokens = 800;
+	for (const PlaceCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		EXPECT_EQ(c.chosen,
+			  item_place(c.engines.data(),
+				     (uint32_t)c.engines.size(), &item));
+	}
+}
+
+namespace
+{
+
+struct plan_model model(uint64_t named, uint64_t lag = 1, double tokens = 100)
+{
+	struct plan_model m = {};
+
+	m.named = named;
+	m.lag = lag;
+	m.tokens = tokens;
+	m.is_active = 1;
+	return m;
+}
+
+struct plan_engine loaded(int32_t share, std::vector<uint64_t> versions,
+			  int loading = 0)
+{
+	struct plan_engine e = {};
+
+	e.share = share;
+	e.usable = 1;
+	e.is_loading = loading;
+	for (size_t i = 0; i < versions.size(); i++)
+		e.versions[i] = versions[i];
+	return e;
+}
+
+std::vector<uint32_t> shares_of(const std::vector<struct plan_engine> &engines)
+{
+	std::vector<uint32_t> shares(4);
+
+	for (const struct plan_engine &e : engines)
+		if (e.usable && e.share >= 0)
+			shares[(size_t)e.share]++;
+	return shares;
+}
+
+} // namespace
+
+TEST(VersionPlan, SharesEnginesByWhatStepsNeed)
+{
+	std::vector<struct plan_model> models = { model(2, 1, 100),
+						  model(2, 1, 200),
+						  model(2, 1, 150) };
+	std::vector<struct plan_engine> engines(9, loaded(-1, { 1, 1, 1 }));
+
+	version_plan_shares(models.data(), 3, engines.data(), 9);
+	EXPECT_EQ((std::vector<uint32_t>{ 2, 4, 3, 0 }), shares_of(engines));
+
+	std::vector<struct plan_engine> before = engines;
+
+	version_plan_shares(models.data(), 3, engines.data(), 9);
+	for (size_t i = 0; i < 9; i++)
+		EXPECT_EQ(before[i].share, engines[i].share);
+
+	// An engine is lost: a model that had two keeps at least one.
+	for (struct plan_engine &e : engines)
+		if (e.share == 0)
+			e.usable = 0;
+	version_plan_shares(models.data(), 3, engines.data(), 9);
+	EXPECT_GE(shares_of(engines)[0], 1u);
+}
+
+TEST(VersionPlan, FewEnginesServeTheModelsThatHaveBatches)
+{
+	std::vector<struct plan_model> models = { model(2), model(2) };
+	std::vector<struct plan_engine> engines = { loaded(0, { 1, 1 }),
+						    loaded(-1, { 1, 1 }) };
+
+	models[0].is_active = 0;
+	version_plan_shares(models.data(), 2, engines.data(), 2);
+	EXPECT_EQ((std::vector<uint32_t>{ 0, 2, 0, 0 }), shares_of(engines));
+}
+
+namespace
+{
+
+struct LoadCase {
+	const char *name;
+	std::vector<struct plan_model> models;
+	std::vector<struct plan_engine> engines;
+	uint32_t at_once;
+	std::vector<uint32_t> loads; // engines
+};
+
+} // namespace
+
+// Load pattern: a version every few seconds, steps that allow one version
+// back.
+TEST(VersionPlan, LoadsWhatTheNewestStepNeedsThenHalfAhead)
+{
+	const LoadCase cases[] = {
+		{ "all fit, none ahead yet: half loads ahead",
+		  { model(2) },
+		  { loaded(0, { 1 }), loaded(0, { 1 }), loaded(0, { 1 }) },
+		  2,
+		  { 0 } },
+		{ "half is ahead: nothing to do",
+		  { model(2) },
+		  { loaded(0, { 2 }), loaded(0, { 2 }), loaded(0, { 1 }) },
+		  2,
+		  {} },
+		{ "too old ones load at once",
+		  { model(3) },
+		  { loaded(0, { 2 }), loaded(0, { 1 }), loaded(0, { 1 }) },
+		  2,
+		  { 1, 2 } },
+		{ "no more than the bound",
+		  { model(3) },
+		  { loaded(0, { 1 }), loaded(0, { 1 }), loaded(0, { 1 }) },
+		  2,
+		  { 0, 1 } },
+		{ "what loads counts",
+		  { model(3) },
+		  { loaded(0, { 1 }, 1), loaded(0, { 1 }), loaded(0, { 1 }) },
+		  2,
+		  { 1 } },
+		{ "models take turns",
+		  { model(3), model(3) },
+		  { loaded(0, { 1, 1 }), loaded(0, { 1, 1 }),
+		    loaded(1, { 1, 1 }), loaded(1, { 1, 1 }) },
+		  2,
+		  { 0, 2 } },
+		{ "an only engine does not load ahead",
+		  { model(2) },
+		  { loaded(0, { 1 }) },
+		  2,
+		  {} },
+		{ "no lag allowed: all load",
+		  { model(2, 0) },
+		  { loaded(0, { 1 }), loaded(0, { 1 }) },
+		  2,
+		  { 0, 1 } },
+		{ "another model's engines are left alone",
+		  { model(5), model(1) },
+		  { loaded(1, { 1, 1 }) },
+		  2,
+		  {} },
+	};
+
+	for (const LoadCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct plan_load loads[16];
+		std::vector<uint32_t> chosen;
+		uint32_t count = version_plan_loads(
+			c.models.data(), (uint32_t)c.models.size(),
+			c.engines.data(), (uint32_t)c.engines.size(), c.at_once,
+			loads);
+
+		for (uint32_t i = 0; i < count; i++)
+			chosen.push_back(loads[i].engine);
+		EXPECT_EQ(c.loads, chosen);
+	}
+}
+
+// A long row of versions: every step finds at least one fit engine at once,
+// and there are no more loads than one a version for half of the engines.
+TEST(VersionPlan, KeepsHalfOfAShareFitWithHalfTheLoads)
+{
+	std::vector<struct plan_engine> engines(4, loaded(0, { 1 }));
+	struct plan_load loads[16];
+	uint32_t load_count = 0;
+
+	for (uint64_t named = 2; named < 42; named++) {
+		struct plan_model m = model(named);
+		uint32_t fit = 0;
+		uint32_t count;
+
+		for (const struct plan_engine &e : engines)
+			fit += e.versions[0] + 1 >= named;
+		EXPECT_GE(fit, named > 3 ? 2u : 1u) << named;
+		while ((count = version_plan_loads(&m, 1, engines.data(), 4, 2,
+						   loads)) > 0) {
+			load_count += count;
+			for (uint32_t i = 0; i < count; i++)
+				engines[loads[i].engine].versions[0] = named;
+		}
+	}
+	EXPECT_LE(load_count, 40u * 2 + 4);
+}
