--- a/batch/batch.c
+++ b/batch/batch.c
@@ -3,35 +3,78 @@
 #include <stdlib.h>
 #include <string.h>
 
-int batch_is_done(const struct batch *batch)
+#include "base/alloc.h"
+
+static void take_settings(struct batch *batch,
+			  const Currant__Topic__BatchAccepted *accepted)
 {
-	return batch->ended || batch->listed_count == batch->item_count;
+	batch->id = accepted->batch;
+	batch->team = accepted->team;
+	batch->host = accepted->host;
+	batch->path = accepted->path;
+	batch->model = accepted->model;
+	batch->step = accepted->step;
+	batch->min_version = accepted->min_version;
+	batch->target_groups = accepted->target_groups;
+	batch->accepted_ms = accepted->accepted_ms;
+	batch->due_ms = accepted->due_ms;
+	batch->retention_ms = accepted->retention_ms;
+	batch->max_attempts = accepted->max_attempts;
+	batch->single_version = accepted->single_version;
+	batch->items_offset = accepted->items_offset;
+	batch->items_records = accepted->items_records;
 }
 
-void batch_item_note_progress(struct batch_item *item,
-			      Currant__Topic__BatchRecord *progress)
+struct batch *batch_new(Currant__Topic__BatchRecord *message, int64_t now_ns)
 {
-	if (item->progress)
-		currant__topic__batch_record__free_unpacked(item->progress,
-							    NULL);
-	item->progress = progress;
+	const Currant__Topic__BatchAccepted *accepted = message->accepted;
+	struct batch *batch = xcalloc(1, sizeof(*batch));
+
+	batch->message = message;
+	batch->applied_ns = now_ns;
+	take_settings(batch, accepted);
+	batch->item_count = (uint32_t)accepted->n_items;
+	batch->items = xcalloc(batch->item_count + 1, sizeof(*batch->items));
+	batch->listed = xcalloc(batch->item_count + 1, sizeof(*batch->listed));
+	for (uint32_t i = 0; i < batch->item_count; i++)
+		batch->items[i].id = accepted->items[i];
+	return batch;
 }
 
-void batch_drop_specs(struct batch *batch)
+void batch_drop_progress(struct batch *batch)
 {
-	for (uint32_t i = 0; i < batch->item_count; i++) {
-		batch->items[i].spec = NULL;
-		batch_item_note_progress(&batch->items[i], NULL);
-	}
-	for (uint32_t i = 0; i < batch->message_count; i++)
-		currant__topic__batch_record__free_unpacked(batch->messages[i],
+	struct batch_progress *progress = batch->progress;
+
+	while (progress) {
+		struct batch_progress *next = progress->next;
+
+		currant__topic__batch_record__free_unpacked(progress->record,
 							    NULL);
-	free(batch->messages);
-	batch->messages = NULL;
-	batch->message_count = 0;
+		free(progress);
+		progress = next;
+	}
+	batch->progress = NULL;
+}
+
+void batch_free(struct batch *batch)
+{
+	batch_drop_progress(batch);
+	for (uint32_t i = 0; i < batch->version_set_count; i++)
+		free(batch->version_sets[i].versions);
+	free(batch->version_sets);
+	free(batch->items);
+	free(batch->listed);
+	currant__topic__batch_record__free_unpacked(batch->message, NULL);
+	free(batch);
+}
+
+int batch_is_done(const struct batch *batch)
+{
+	return batch->ended || batch->listed_count == batch->item_count;
 }
 
-struct batch_item *batch_find_item(struct batch *batch, const char *id)
+const struct batch_item *batch_find_item(const struct batch *batch,
+					 const char *id)
 {
 	for (uint32_t i = 0; i < batch->item_count; i++)
 		if (!strcmp(batch->items[i].id, id))
@@ -39,28 +82,92 @@
 	return NULL;
 }
 
-void batch_result_free(struct batch_result *result)
+static int is_set(const struct version_set *set,
+		  const Currant__Topic__ItemResult *result)
 {
-	if (!result)
-		return;
-	free(result->text);
-	free(result->versions);
-	free(result);
+	return set->count == result->n_versions &&
+	       (!set->count || !memcmp(set->versions, result->versions,
+				       set->count * sizeof(uint64_t)));
 }
 
-void batch_free(struct batch *batch)
+/* Index of the set of versions; -1 if there are too many sets. */
+static int find_version_set(struct batch *batch,
+			    const Currant__Topic__ItemResult *result)
+{
+	struct version_set *set;
+
+	for (uint32_t i = 0; i < batch->version_set_count; i++)
+		if (is_set(&batch->version_sets[i], result))
+			return (int)i;
+	if (batch->version_set_count == BATCH_VERSION_SETS)
+		return -1;
+	batch->version_sets =
+		xrealloc(batch->version_sets,
+			 (batch->version_set_count + 1) * sizeof(*set));
+	set = &batch->version_sets[batch->version_set_count];
+	set->count = (uint32_t)result->n_versions;
+	set->versions = xcalloc(set->count + 1, sizeof(uint64_t));
+	memcpy(set->versions, result->versions, set->count * sizeof(uint64_t));
+	return (int)batch->version_set_count++;
+}
+
+int batch_list_item(struct batch *batch,
+		    const Currant__Topic__ItemResult *result)
 {
-	batch_drop_specs(batch);
-	for (uint32_t i = 0; i < batch->item_count; i++) {
-		free(batch->items[i].id);
-		batch_result_free(batch->items[i].result);
+	struct batch_item *item;
+	int set;
+
+	if (batch->ended || result->item >= batch->item_count)
+		return 0;
+	item = &batch->items[result->item];
+	if (item->state != BATCH_ITEM_OPEN)
+		return 0;
+	set = find_version_set(batch, result);
+	if (set < 0)
+		return 0;
+	item->state = result->state == CURRANT__TOPIC__ITEM_STATE__COMPLETE
+			      ? BATCH_ITEM_COMPLETE
+			      : BATCH_ITEM_GIVEN_UP;
+	item->version_set = (uint8_t)set;
+	item->position = batch->listed_count;
+	item->text_offset = result->text_offset;
+	item->text_bytes = result->text_bytes;
+	batch->listed[batch->listed_count++] = result->item;
+	return 1;
+}
+
+const struct version_set *batch_item_versions(const struct batch *batch,
+					      const struct batch_item *item)
+{
+	return &batch->version_sets[item->version_set];
+}
+
+void batch_note_progress(struct batch *batch,
+			 Currant__Topic__BatchRecord *record)
+{
+	uint32_t item = record->progress->item;
+	struct batch_progress *progress = batch->progress;
+
+	while (progress && progress->item != item)
+		progress = progress->next;
+	if (progress) {
+		currant__topic__batch_record__free_unpacked(progress->record,
+							    NULL);
+	} else {
+		progress = xcalloc(1, sizeof(*progress));
+		progress->item = item;
+		progress->next = batch->progress;
+		batch->progress = progress;
 	}
-	free(batch->items);
-	free(batch->listed);
-	free(batch->id);
-	free(batch->team);
-	free(batch->host);
-	free(batch->path);
-	free(batch->model);
-	free(batch);
+	progress->record = record;
+}
+
+const Currant__Topic__ItemProgress *
+batch_find_progress(const struct batch *batch, uint32_t item)
+{
+	const struct batch_progress *progress = batch->progress;
+
+	while (progress && progress->item != item)
+		progress = progress->next;
+	return progress ? progress->record->progress : NULL;
 }
--- a/batch/batch.h
+++ b/batch/batch.h
@@ -8,7 +8,8 @@
 /*
  * An accepted batch, as the records of its partition say. The same records
  * give the same batch on every daemon: the first submission of an id counts,
- * and results stand in the order of the first result of each item.
+ * and results stand in the order of the first result of each item. Bodies and
+ * texts are not kept; they are read from the log where they are needed.
  */
 enum batch_item_state {
 	BATCH_ITEM_OPEN = 0,
@@ -16,32 +17,36 @@
 	BATCH_ITEM_GIVEN_UP,
 };
 
-/* Text and versions of a result. */
-struct batch_result {
-	char *text;
-	size_t len;
+struct batch_item {
+	const char *id;
+	uint64_t text_offset; /* of its result */
+	uint32_t text_bytes;
+	uint32_t position; /* among the results, once it is not open */
+	uint8_t state; /* enum batch_item_state */
+	uint8_t version_set; /* of its result */
+};
+
+/* Versions that made a text; most results of a batch share one of a few. */
+#define BATCH_VERSION_SETS 255
+
+struct version_set {
 	uint64_t *versions;
-	uint32_t version_count;
+	uint32_t count;
 };
 
-struct batch_item {
-	char *id;
-	enum batch_item_state state;
-	uint32_t position; /* among the results, once it is not open */
-	uint64_t result_offset;
-	struct batch_result *result; /* NULL: to be read from the log */
-	/* What it was submitted with; NULL once that is not needed any more. */
-	const Currant__Topic__BatchItem *spec;
-	/* What runs had made when it was noted last; NULL: not noted. */
-	Currant__Topic__BatchRecord *progress;
+/* What runs of an open item had made when it was noted last. */
+struct batch_progress {
+	uint32_t item;
+	Currant__Topic__BatchRecord *record;
+	struct batch_progress *next;
 };
 
 struct batch {
-	char *id;
-	char *team;
-	char *host;
-	char *path;
-	char *model; /* "": none */
+	const char *id;
+	const char *team;
+	const char *host;
+	const char *path;
+	const char *model; /* "": none */
 	uint64_t step;
 	uint64_t min_version;
 	uint32_t target_groups;
@@ -50,36 +55,52 @@
 	uint32_t retention_ms;
 	uint32_t max_attempts;
 	int single_version;
+	uint64_t items_offset; /* of what it was submitted with */
+	uint32_t items_records;
 	struct batch_item *items;
 	uint32_t item_count;
 	uint32_t *listed; /* item numbers by position */
 	uint32_t listed_count;
 	int ended; /* by its caller */
-	uint64_t offset; /* of the record that completed it */
-	int64_t applied_ns; /* when this daemon read that */
-	/* The messages that the specs point into. */
-	Currant__Topic__BatchRecord **messages;
-	uint32_t message_count;
+	int64_t applied_ns; /* when this daemon read it */
+	struct version_set *version_sets;
+	uint32_t version_set_count;
+	struct batch_progress *progress;
+	/* The message that the texts above point into. */
+	Currant__Topic__BatchRecord *message;
 	struct batch *next; /* in its bucket */
 	struct batch *newer; /* in order of the log */
 	struct batch *older;
 };
 
+/* Takes the message, which holds an accepted batch. */
+struct batch *batch_new(Currant__Topic__BatchRecord *message, int64_t now_ns);
+
+/* The table must not hold it any more. */
+void batch_free(struct batch *batch);
+
 /* Whether no item is open and none will come. */
 int batch_is_done(const struct batch *batch);
 
-/* Frees what the items were submitted with, and what was noted of them. */
-void batch_drop_specs(struct batch *batch);
+const struct batch_item *batch_find_item(const struct batch *batch,
+					 const char *id);
 
-/* Keeps the message in place of the one that was noted before. */
-void batch_item_note_progress(struct batch_item *item,
-			      Currant__Topic__BatchRecord *progress);
+/* The first result of an item; later ones change nothing. Returns 1 if so. */
+int batch_list_item(struct batch *batch,
+		    const Currant__Topic__ItemResult *result);
 
-struct batch_item *batch_find_item(struct batch *batch, const char *id);
+const struct version_set *batch_item_versions(const struct batch *batch,
+					      const struct batch_item *item);
 
-void batch_result_free(struct batch_result *result);
+/* Keeps the message in place of the one that was noted before. */
+void batch_note_progress(struct batch *batch,
+			 Currant__Topic__BatchRecord *record);
 
-/* Frees the batch; the table must not hold it any more. */
-void batch_free(struct batch *batch);
+/* What was noted of an item; NULL if nothing was. */
+const Currant__Topic__ItemProgress *
+batch_find_progress(const struct batch *batch, uint32_t item);
+
+/* Drops what was noted of items. */
+void batch_drop_progress(struct batch *batch);
 
 #endif
--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "batch/items_load.h"
 #include "entry/answers.h"
 #include "platform/batch_codec.h"
 
@@ -15,8 +16,9 @@
 #define HOLD_MAX_NS (30 * NS_PER_S)
 /* How long a caller is kept waiting for the store. */
 #define PATIENCE_NS (3 * NS_PER_S)
-#define READ_BYTES (1024 * 1024)
-#define READ_TIMEOUT_NS (700 * NS_PER_MS)
+/* What a record of a text takes beside it, and texts of others between. */
+#define TEXT_OVERHEAD_BYTES 256
+#define TEXT_SLACK 1.25
 
 /* The refresh of one partition, for a call. */
 struct call_refresh {
@@ -41,9 +43,12 @@
 	/* A read that waits for news. */
 	struct batch_partition *watched;
 	struct batch_table_listener news;
-	/* Texts that are read from the log again. */
-	struct topic_read reload;
-	int reloading;
+	/* Texts of results, read from the log. */
+	struct topic_read texts;
+	int reading_texts;
+	/* What the batch was submitted with, for an item's body. */
+	struct items_load items;
+	int loading_items;
 	/* The end of a batch that is being stored. */
 	struct batch_write *write;
 	struct batch_call *next;
@@ -52,14 +57,9 @@
 
 static void stop_watching(struct batch_call *call)
 {
-	struct batch_table_listener **at;
-
 	if (!call->watched)
 		return;
-	at = &call->watched->table.listeners;
-	while (*at != &call->news)
-		at = &(*at)->next;
-	*at = call->news.next;
+	batch_table_remove_listener(&call->watched->table, &call->news);
 	topic_follower_unwant(&call->watched->follower);
 	call->watched = NULL;
 }
@@ -73,10 +73,12 @@
 			topic_follower_drop_refresh(
 				&call->refreshes[i].partition->follower,
 				&call->refreshes[i].base);
-	if (call->reloading)
+	if (call->reading_texts)
 		call->api->store->vt->cancel(call->api->store,
-					     call->reload.call);
-	strbuf_finish(&call->reload.records);
+					     call->texts.call);
+	strbuf_finish(&call->texts.records);
+	if (call->loading_items)
+		items_load_finish(&call->items);
 	*call->at = call->next;
 	if (call->next)
 		call->next->at = call->at;
@@ -156,49 +158,111 @@
 	return NULL;
 }
 
-/* Texts from `after` on that are held, and fit into one answer. */
-static uint32_t collect(const struct batch *batch, uint32_t after,
-			struct batch_result_view *views)
+/* Results that one answer may hold, from the wanted position on. */
+static uint32_t count_results(const struct batch *batch, uint32_t after,
+			      size_t *bytes)
 {
-	size_t bytes = 0;
 	uint32_t count = 0;
 
-	for (uint32_t at = after; at < batch->listed_count; at++) {
+	*bytes = 0;
+	while (after + count < batch->listed_count) {
 		const struct batch_item *item =
-			&batch->items[batch->listed[at]];
-		struct batch_result_view *view = &views[count];
+			&batch->items[batch->listed[after + count]];
+		size_t more =
+			2 * (size_t)item->text_bytes + TEXT_OVERHEAD_BYTES;
 
-		if (!item->result)
-			break;
-		view->id = item->id;
-		view->is_complete = item->state == BATCH_ITEM_COMPLETE;
-		view->text = item->result->text;
-		view->text_len = item->result->len;
-		view->versions = item->result->versions;
-		view->version_count = item->result->version_count;
-		bytes += platform_batch_result_bytes(view);
-		if (count && bytes > ANSWER_MAX_BYTES)
+		if (count && *bytes + more > ANSWER_MAX_BYTES)
 			break;
+		*bytes += more;
 		count++;
 	}
 	return count;
 }
 
-static void answer_results(struct batch_call *call, const struct batch *batch)
+static void fill_view(const struct batch *batch, uint32_t position,
+		      struct batch_result_view *view)
+{
+	const struct batch_item *item = &batch->items[batch->listed[position]];
+	const struct version_set *set = batch_item_versions(batch, item);
+
+	memset(view, 0, sizeof(*view));
+	view->id = item->id;
+	view->is_complete = item->state == BATCH_ITEM_COMPLETE;
+	view->text = "";
+	view->versions = set->versions;
+	view->version_count = set->count;
+}
+
+/* The texts that came with one read, by the positions that they belong to. */
+struct found_texts {
+	const struct batch *batch;
+	uint32_t after;
+	uint32_t count;
+	struct batch_result_view *views;
+	Currant__Topic__TextRecord **records; /* by view; NULL: not found */
+};
+
+static void take_text(struct found_texts *found, uint64_t offset,
+		      const uint8_t *data, size_t len)
+{
+	Currant__Topic__TextRecord *record =
+		currant__topic__text_record__unpack(NULL, len, data);
+	const struct batch *batch = found->batch;
+	const struct batch_item *item;
+	uint32_t index;
+
+	if (!record)
+		return;
+	if (record->kind_case == CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT &&
+	    record->text->item < batch->item_count) {
+		item = &batch->items[record->text->item];
+		index = item->position - found->after;
+		if (item->state != BATCH_ITEM_OPEN &&
+		    item->text_offset == offset && index < found->count &&
+		    !found->records[index]) {
+			found->records[index] = record;
+			found->views[index].text =
+				(const char *)record->text->text.data;
+			found->views[index].text_len = record->text->text.len;
+			return;
+		}
+	}
+	currant__topic__text_record__free_unpacked(record, NULL);
+}
+
+static void find_texts(struct batch_call *call, struct found_texts *found)
+{
+	uint64_t offset = call->texts.from;
+	const uint8_t *data;
+	size_t len;
+	size_t at = 0;
+
+	for (uint32_t i = 0; i < found->count; i++)
+		fill_view(found->batch, found->after + i, &found->views[i]);
+	while (topic_next_record(&call->texts.records, &at, &data, &len))
+		take_text(found, offset++, data, len);
+	/* Positions are told without a gap; those without a text need none. */
+	for (uint32_t i = 0; i < found->count; i++) {
+		const struct batch_item *item =
+			&found->batch->items[found->batch->listed[found->after +
+								  i]];
+
+		if (found->records[i] || !item->text_bytes)
+			continue;
+		found->count = i;
+	}
+}
+
+static void answer_results(struct batch_call *call, const struct batch *batch,
+			   const struct batch_result_view *views,
+			   uint32_t count)
 {
-	uint32_t after = call->what.after;
-	struct batch_result_view *views =
-		xcalloc(batch->item_count + 1, sizeof(*views));
 	struct net_request *request = call->request;
-	uint32_t count = collect(batch, after, views);
 	struct strbuf body;
-	int failed;
 
 	strbuf_init(&body);
-	failed = platform_batch_write_results(&body, batch->item_count, after,
-					      views, count);
-	free(views);
-	if (failed) {
+	if (platform_batch_write_results(&body, batch->item_count,
+					 call->what.after, views, count)) {
 		refuse(call, 500, "internal", "a result cannot be written", -1);
 	} else {
 		report(call, 200, NULL, count);
@@ -208,56 +272,77 @@
 	strbuf_finish(&body);
 }
 
-static void read_results(struct batch_call *call);
+static void refuse_store(struct batch_call *call)
+{
+	refuse(call, 503, "store_unavailable", "the store could not be read",
+	       STORE_RETRY_NS);
+}
 
-/* Puts texts back that the table has given up; they count as held there. */
-static void take_reloaded(struct batch_call *call, struct batch *batch,
-			  struct batch_partition *in)
+/* Frees what was found. */
+static void answer_found(struct batch_call *call, struct found_texts *found)
 {
-	uint64_t offset = call->reload.from;
-	const uint8_t *data;
-	size_t len;
-	size_t at = 0;
+	size_t bytes;
+	uint32_t wanted = count_results(found->batch, found->after, &bytes);
 
-	while (topic_next_record(&call->reload.records, &at, &data, &len))
-		batch_table_restore(&in->table, batch, offset++, data, len);
+	if (found->count || !wanted)
+		answer_results(call, found->batch, found->views, found->count);
+	else
+		refuse_store(call);
+	for (uint32_t i = 0; i < wanted; i++)
+		if (found->records[i])
+			currant__topic__text_record__free_unpacked(
+				found->records[i], NULL);
+	free(found->records);
+	free(found->views);
 }
 
-static void on_reloaded(struct topic_read *read)
+static void on_texts(struct topic_read *read)
 {
 	struct batch_call *call = read->arg;
 	struct batch_partition *in;
-	struct batch *batch;
+	struct found_texts found = { .after = call->what.after };
+	size_t bytes;
 
-	call->reloading = 0;
-	batch = find_own(call, &in);
-	if (read->outcome != TOPIC_OK || !batch) {
-		refuse(call, 503, "store_unavailable",
-		       "the store could not be read", STORE_RETRY_NS);
+	call->reading_texts = 0;
+	found.batch = find_own(call, &in);
+	if (read->outcome != TOPIC_OK || !found.batch) {
+		refuse_store(call);
 		return;
 	}
-	take_reloaded(call, batch, in);
-	strbuf_finish(&read->records);
-	read_results(call);
+	found.count = count_results(found.batch, found.after, &bytes);
+	found.views = xcalloc(found.count + 1, sizeof(*found.views));
+	found.records = xcalloc(found.count + 1, sizeof(void *));
+	find_texts(call, &found);
+	answer_found(call, &found);
 }
 
-static void reload(struct batch_call *call, const struct batch *batch,
-		   const struct batch_partition *in)
+/* Where the first text of these results stands; 0 if none has one. */
+static int first_text(const struct batch *batch, uint32_t after, uint32_t count,
+		      uint64_t *from)
 {
-	const struct batch_item *item =
-		&batch->items[batch->listed[call->what.after]];
-	struct topic_read *read = &call->reload;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct batch_item *item =
+			&batch->items[batch->listed[after + i]];
 
-	copy_text(read->topic, sizeof(read->topic),
-		  in->follower.catch_up.topic);
-	read->partition = in->number;
-	read->from = item->result_offset;
-	read->max_bytes = READ_BYTES;
-	read->timeout_ns = READ_TIMEOUT_NS;
-	read->done = on_reloaded;
-	read->arg = call;
-	call->reloading = 1;
-	call->api->store->vt->read(call->api->store, read);
+		if (!item->text_bytes)
+			continue;
+		*from = item->text_offset;
+		return 1;
+	}
+	return 0;
+}
+
+/* No result, or only such as were given up before they had a text. */
+static void answer_textless(struct batch_call *call, const struct batch *batch)
+{
+	size_t bytes;
+	uint32_t count = count_results(batch, call->what.after, &bytes);
+	struct batch_result_view *views = xcalloc(count + 1, sizeof(*views));
+
+	for (uint32_t i = 0; i < count; i++)
+		fill_view(batch, call->what.after + i, &views[i]);
+	answer_results(call, batch, views, count);
+	free(views);
 }
 
 /* Answers with what there is from the wanted position on. */
@@ -265,16 +350,25 @@
 {
 	struct batch_partition *in;
 	struct batch *batch = find_own(call, &in);
+	uint64_t from;
+	size_t bytes;
 
 	if (!batch) {
 		refuse_unknown_batch(call);
 		return;
 	}
-	if (call->what.after < batch->listed_count &&
-	    !batch->items[batch->listed[call->what.after]].result)
-		reload(call, batch, in);
-	else
-		answer_results(call, batch);
+	if (!first_text(batch, call->what.after,
+			count_results(batch, call->what.after, &bytes),
+			&from)) {
+		answer_textless(call, batch);
+		return;
+	}
+	batch_text_read_init(in, &call->texts, from,
+			     (uint32_t)((double)bytes / 2 * TEXT_SLACK));
+	call->texts.done = on_texts;
+	call->texts.arg = call;
+	call->reading_texts = 1;
+	call->api->store->vt->read(call->api->store, &call->texts);
 }
 
 static struct batch_call *watcher_of(struct batch_table_listener *listener)
@@ -300,7 +394,7 @@
 }
 
 static void on_listed(struct batch_table_listener *listener,
-		      struct batch *batch, struct batch_item *item)
+		      struct batch *batch, uint32_t item)
 {
 	struct batch_call *call = watcher_of(listener);
 
@@ -311,7 +405,7 @@
 
 static void on_ended(struct batch_table_listener *listener, struct batch *batch)
 {
-	on_listed(listener, batch, NULL);
+	on_listed(listener, batch, 0);
 }
 
 static void wait_for_news(struct batch_call *call, struct batch_partition *in)
@@ -339,25 +433,45 @@
 		read_results(call);
 }
 
-static void answer_item(struct batch_call *call, struct batch *batch)
+static void on_items(struct items_load *load, int ok)
 {
-	const struct batch_item *item = batch_find_item(batch, call->what.item);
+	struct batch_call *call = load->arg;
+	struct batch_partition *in;
+	const struct batch *batch = find_own(call, &in);
+	const struct batch_item *item =
+		batch ? batch_find_item(batch, call->what.item) : NULL;
 	struct net_answer answer = {
 		.status = 200,
 		.fields = "Content-Type: application/octet-stream\r\n",
 	};
+	const Currant__Topic__BatchItem *spec;
 	struct net_request *request = call->request;
 
-	if (!item || !item->spec || item->state != BATCH_ITEM_OPEN) {
-		refuse(call, 404, "no_item",
-		       "the batch has no such item that is not listed", -1);
+	if (!ok || !item) {
+		refuse_store(call);
 		return;
 	}
-	answer.body = item->spec->body.data;
-	answer.body_len = item->spec->body.len;
+	spec = load->items[item - batch->items];
+	answer.body = spec->body.data;
+	answer.body_len = spec->body.len;
 	report(call, 200, NULL, -1);
-	free_call(call);
 	net_request_answer(request, &answer);
+	free_call(call);
+}
+
+static void answer_item(struct batch_call *call, struct batch *batch,
+			struct batch_partition *in)
+{
+	const struct batch_item *item = batch_find_item(batch, call->what.item);
+
+	if (!item || batch->ended || item->state != BATCH_ITEM_OPEN) {
+		refuse(call, 404, "no_item",
+		       "the batch has no such item that is not listed", -1);
+		return;
+	}
+	call->loading_items = 1;
+	items_load_start(&call->items, call->api->store, in, batch, on_items,
+			 call);
 }
 
 static void answer_ended(struct batch_call *call, const char *reason)
@@ -417,10 +531,10 @@
 	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
 	Currant__Topic__BatchEnd end = CURRANT__TOPIC__BATCH_END__INIT;
 
-	end.batch = batch->id;
+	end.batch = (char *)batch->id;
 	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_END;
 	record.end = &end;
-	call->write = batch_write_new(in, on_end_written, call);
+	call->write = batch_write_new(in, 0, on_end_written, call);
 	batch_write_add(call->write, &record);
 	timer_subscribe_once(&call->api->reactor->timers, &call->timer,
 			     PATIENCE_NS, on_end_timeout, call);
@@ -448,7 +562,7 @@
 			write_end(call, batch, in);
 		break;
 	default:
-		answer_item(call, batch);
+		answer_item(call, batch, in);
 		break;
 	}
 }
@@ -520,7 +634,7 @@
 	call->what = *what;
 	call->team = xstrdup(team ? team->name : "");
 	call->hold_until_ns = request->whole_ns + hold_ns;
-	strbuf_init(&call->reload.records);
+	strbuf_init(&call->texts.records);
 	call->next = api->calls;
 	call->at = &api->calls;
 	if (call->next)
--- a/batch/batch_partition.c
+++ b/batch/batch_partition.c
@@ -7,6 +7,10 @@
 #include "base/hash.h"
 
 #define BATCH_TOPIC "batch"
+#define TEXT_TOPIC "text"
+#define READ_TIMEOUT_NS (700 * NS_PER_MS)
+#define READ_MIN_BYTES 4096
+#define READ_MAX_BYTES (1024 * 1024)
 
 static struct batch_partition *partition_of(struct topic_follower *follower)
 {
@@ -35,6 +39,8 @@
 			    BATCH_TOPIC, number, counters);
 	topic_writer_init(&partition->writer, log, timers, BATCH_TOPIC, number,
 			  writer_name, counters);
+	topic_writer_init(&partition->texts, log, timers, TEXT_TOPIC, number,
+			  writer_name, counters);
 	batch_table_init(&partition->table);
 	partition->clock = timers->clock;
 	partition->number = number;
@@ -43,6 +49,7 @@
 void batch_partition_finish(struct batch_partition *partition)
 {
 	topic_writer_finish(&partition->writer);
+	topic_writer_finish(&partition->texts);
 	topic_follower_finish(&partition->follower);
 	batch_table_finish(&partition->table);
 }
@@ -52,13 +59,14 @@
 {
 	struct batch_write *write = (struct batch_write *)base;
 
-	if (outcome == TOPIC_WRITE_DONE)
+	if (outcome == TOPIC_WRITE_DONE && !write->is_text)
 		topic_follower_note_own(&write->partition->follower,
 					base->offset, &base->records);
 	write->done(write, outcome);
 }
 
 struct batch_write *batch_write_new(struct batch_partition *partition,
+				    int is_text,
 				    void (*done)(struct batch_write *write,
 						 enum topic_write_outcome),
 				    void *arg)
@@ -68,6 +76,7 @@
 	strbuf_init(&write->base.records);
 	write->base.done = on_written;
 	write->partition = partition;
+	write->is_text = is_text;
 	write->done = done;
 	write->arg = arg;
 	return write;
@@ -86,14 +95,37 @@
 	write->base.record_count++;
 }
 
+static struct topic_writer *writer_of(const struct batch_write *write)
+{
+	return write->is_text ? &write->partition->texts
+			      : &write->partition->writer;
+}
+
 void batch_write_start(struct batch_write *write)
 {
-	topic_writer_add(&write->partition->writer, &write->base);
+	topic_writer_add(writer_of(write), &write->base);
 }
 
 int batch_write_withdraw(struct batch_write *write)
 {
-	return topic_writer_withdraw(&write->partition->writer, &write->base);
+	return topic_writer_withdraw(writer_of(write), &write->base);
+}
+
+void batch_text_read_init(const struct batch_partition *partition,
+			  struct topic_read *read, uint64_t from,
+			  uint32_t max_bytes)
+{
+	copy_text(read->topic, sizeof(read->topic), TEXT_TOPIC);
+	read->partition = partition->number;
+	read->from = from;
+	if (max_bytes < READ_MIN_BYTES)
+		max_bytes = READ_MIN_BYTES;
+	if (max_bytes > READ_MAX_BYTES)
+		max_bytes = READ_MAX_BYTES;
+	read->max_bytes = max_bytes;
+	read->wait_ns = 0;
+	read->timeout_ns = READ_TIMEOUT_NS;
+	strbuf_init(&read->records);
 }
 
 void batch_set_init(struct batch_set *set, struct topic_log *log,
--- a/batch/batch_partition.h
+++ b/batch/batch_partition.h
@@ -9,12 +9,13 @@
 
 /*
  * One partition of the batch topic: its batches as far as they were read, and
- * the way to append to it. All batches of one model share a partition, so
- * that one host runs them.
+ * the way to append to it and to the texts that belong to it. All batches of
+ * one model share a partition, so that one host runs them.
  */
 struct batch_partition {
 	struct topic_follower follower;
 	struct topic_writer writer;
+	struct topic_writer texts;
 	struct batch_table table;
 	struct clock *clock;
 	uint32_t number;
@@ -24,7 +25,11 @@
 struct batch_write {
 	struct topic_write base;
 	struct batch_partition *partition;
-	/* By then the table holds them, if they could be read in order. */
+	int is_text; /* to the text topic */
+	/*
+	 * By then the table holds them, if they could be read in order. Of
+	 * texts, `base.offset` tells where they stand.
+	 */
 	void (*done)(struct batch_write *write,
 		     enum topic_write_outcome outcome);
 	void *arg;
@@ -36,8 +41,9 @@
 			  struct counter_set *counters);
 void batch_partition_finish(struct batch_partition *partition);
 
-/* A write with no records yet. */
+/* A write with no records yet; `is_text` for the text topic. */
 struct batch_write *batch_write_new(struct batch_partition *partition,
+				    int is_text,
 				    void (*done)(struct batch_write *write,
 						 enum topic_write_outcome),
 				    void *arg);
@@ -52,6 +58,11 @@
 /* Returns 0 if it was sent already, so that it may take effect. */
 int batch_write_withdraw(struct batch_write *write);
 
+/* Fills what a read of the partition's texts needs, but for done(). */
+void batch_text_read_init(const struct batch_partition *partition,
+			  struct topic_read *read, uint64_t from,
+			  uint32_t max_bytes);
+
 /* All partitions of the topic. */
 struct batch_set {
 	struct batch_partition *partitions;
--- a/batch/batch_record.c
+++ b/batch/batch_record.c
@@ -24,6 +24,35 @@
 	strbuf_finish(&packed);
 }
 
+static void add_text_record(struct strbuf *out,
+			    const Currant__Topic__TextRecord *record)
+{
+	struct strbuf packed;
+
+	strbuf_init(&packed);
+	strbuf_grow(&packed,
+		    currant__topic__text_record__get_packed_size(record));
+	packed.len = currant__topic__text_record__pack(record,
+						       (uint8_t *)packed.buf);
+	topic_add_record(out, packed.buf, packed.len);
+	strbuf_finish(&packed);
+}
+
+void batch_record_add_text(struct strbuf *out, const char *batch, uint32_t item,
+			   const void *text, size_t len)
+{
+	Currant__Topic__TextRecord record = CURRANT__TOPIC__TEXT_RECORD__INIT;
+	Currant__Topic__ItemText message = CURRANT__TOPIC__ITEM_TEXT__INIT;
+
+	message.batch = (char *)batch;
+	message.item = item;
+	message.text.data = (uint8_t *)text;
+	message.text.len = len;
+	record.kind_case = CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT;
+	record.text = &message;
+	add_text_record(out, &record);
+}
+
 static size_t item_bytes(const struct draft_item *item)
 {
 	return strlen(item->id) + strlen(item->path) + item->fields.len +
@@ -77,34 +106,13 @@
 	out->part_tokens = parts->tokens;
 }
 
-static void fill_part(Currant__Topic__BatchPart *part,
-		      const struct batch_draft *draft,
-		      const struct batch_acceptance *acceptance)
-{
-	currant__topic__batch_part__init(part);
-	part->batch = (char *)acceptance->batch;
-	part->writer = acceptance->writer;
-	part->total_items = draft->item_count;
-	part->accepted_ms = acceptance->accepted_ms;
-	part->team = (char *)acceptance->team;
-	part->host = (char *)acceptance->host;
-	part->path = (char *)acceptance->path;
-	part->model = draft->model;
-	part->step = draft->step;
-	part->min_version = draft->min_version;
-	part->target_groups = draft->target_groups;
-	part->due_ms = acceptance->due_ms;
-	part->retention_ms = acceptance->retention_ms;
-	part->max_attempts = acceptance->max_attempts;
-	part->single_version = acceptance->single_version;
-}
-
 /* Packs `count` items from `first` on into one record. */
-static void add_part(struct strbuf *out, Currant__Topic__BatchPart *part,
+static void add_part(struct strbuf *out, const char *batch,
 		     const struct batch_draft *draft, uint32_t first,
 		     uint32_t count)
 {
-	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
+	Currant__Topic__TextRecord record = CURRANT__TOPIC__TEXT_RECORD__INIT;
+	Currant__Topic__BatchItems part = CURRANT__TOPIC__BATCH_ITEMS__INIT;
 	Currant__Topic__BatchItem *items = xcalloc(count, sizeof(*items));
 	Currant__Topic__BatchItem **list = xcalloc(count, sizeof(void *));
 	struct item_parts *parts = xcalloc(count, sizeof(*parts));
@@ -113,51 +121,80 @@
 		fill_item(&items[i], &draft->items[first + i], &parts[i]);
 		list[i] = &items[i];
 	}
-	part->first_item = first;
-	part->items = list;
-	part->n_items = count;
-	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_PART;
-	record.part = part;
-	batch_record_add(out, &record);
+	part.batch = (char *)batch;
+	part.first_item = first;
+	part.items = list;
+	part.n_items = count;
+	record.kind_case = CURRANT__TOPIC__TEXT_RECORD__KIND_ITEMS;
+	record.items = &part;
+	add_text_record(out, &record);
 	free(parts);
 	free(list);
 	free(items);
 }
 
-/* How many records the submission takes; 0 if an item does not fit. */
-static uint32_t count_parts(const struct batch_draft *draft, uint32_t max_bytes)
+int batch_record_add_items(struct strbuf *out, const char *batch,
+			   const struct batch_draft *draft,
+			   uint32_t max_record_bytes, uint32_t *record_count)
 {
-	uint32_t parts = 0;
+	uint32_t first = 0;
 
-	for (uint32_t first = 0; first < draft->item_count; parts++) {
-		uint32_t count = items_that_fit(draft, first, max_bytes);
+	*record_count = 0;
+	while (first < draft->item_count) {
+		uint32_t count = items_that_fit(draft, first, max_record_bytes);
 
 		if (!count)
-			return 0;
+			return -1;
+		add_part(out, batch, draft, first, count);
 		first += count;
+		(*record_count)++;
 	}
-	return parts;
+	return 0;
 }
 
-int batch_record_add_submission(struct strbuf *out,
-				const struct batch_draft *draft,
-				const struct batch_acceptance *acceptance,
-				uint32_t max_record_bytes,
-				uint32_t *record_count)
+static void fill_accepted(Currant__Topic__BatchAccepted *accepted,
+			  const struct batch_draft *draft,
+			  const struct batch_acceptance *acceptance)
 {
-	Currant__Topic__BatchPart part;
-	uint32_t first = 0;
-
-	fill_part(&part, draft, acceptance);
-	part.count = count_parts(draft, max_record_bytes);
-	if (!part.count)
-		return -1;
-	*record_count = part.count;
-	for (part.index = 0; part.index < part.count; part.index++) {
-		uint32_t count = items_that_fit(draft, first, max_record_bytes);
+	currant__topic__batch_accepted__init(accepted);
+	accepted->batch = (char *)acceptance->batch;
+	accepted->accepted_ms = acceptance->accepted_ms;
+	accepted->team = (char *)acceptance->team;
+	accepted->host = (char *)acceptance->host;
+	accepted->path = (char *)acceptance->path;
+	accepted->model = draft->model;
+	accepted->step = draft->step;
+	accepted->min_version = draft->min_version;
+	accepted->target_groups = draft->target_groups;
+	accepted->due_ms = acceptance->due_ms;
+	accepted->retention_ms = acceptance->retention_ms;
+	accepted->max_attempts = acceptance->max_attempts;
+	accepted->single_version = acceptance->single_version;
+	accepted->items_offset = acceptance->items_offset;
+	accepted->items_records = acceptance->items_records;
+}
 
-		add_part(out, &part, draft, first, count);
-		first += count;
-	}
-	return 0;
+int batch_record_add_accepted(struct strbuf *out,
+			      const struct batch_draft *draft,
+			      const struct batch_acceptance *acceptance,
+			      uint32_t max_record_bytes)
+{
+	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
+	Currant__Topic__BatchAccepted accepted;
+	char **ids = xcalloc(draft->item_count, sizeof(char *));
+	int fits;
+
+	fill_accepted(&accepted, draft, acceptance);
+	for (uint32_t i = 0; i < draft->item_count; i++)
+		ids[i] = draft->items[i].id;
+	accepted.items = ids;
+	accepted.n_items = draft->item_count;
+	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_ACCEPTED;
+	record.accepted = &accepted;
+	fits = currant__topic__batch_record__get_packed_size(&record) <=
+	       max_record_bytes;
+	if (fits)
+		batch_record_add(out, &record);
+	free(ids);
+	return fits ? 0 : -1;
 }
--- a/batch/batch_record.h
+++ b/batch/batch_record.h
@@ -5,12 +5,11 @@
 #include "port/topic_log.h"
 #include "proto/topic.pb-c.h"
 
-/* The records of the batch topic, as they are appended. */
+/* The records of the batch and text topics, as they are appended. */
 
 /* What a submission is accepted with, beside the draft. */
 struct batch_acceptance {
 	const char *batch;
-	uint64_t writer; /* of all parts of this submission */
 	int64_t accepted_ms; /* wall clock */
 	const char *team;
 	const char *host;
@@ -19,20 +18,30 @@
 	uint32_t retention_ms;
 	uint32_t max_attempts;
 	int single_version;
+	uint64_t items_offset; /* in topic text */
+	uint32_t items_records;
 };
 
 /*
- * Appends the submission as records of at most `max_record_bytes` and counts
- * them. -1 if one item does not fit.
+ * Appends the items of a submission as records of at most `max_record_bytes`
+ * and counts them. -1 if one item does not fit.
  */
-int batch_record_add_submission(struct strbuf *out,
-				const struct batch_draft *draft,
-				const struct batch_acceptance *acceptance,
-				uint32_t max_record_bytes,
-				uint32_t *record_count);
+int batch_record_add_items(struct strbuf *out, const char *batch,
+			   const struct batch_draft *draft,
+			   uint32_t max_record_bytes, uint32_t *record_count);
 
-/* Appends one record of any other kind. */
+/* Appends the record that accepts a batch; -1 if it is too large. */
+int batch_record_add_accepted(struct strbuf *out,
+			      const struct batch_draft *draft,
+			      const struct batch_acceptance *acceptance,
+			      uint32_t max_record_bytes);
+
+/* Appends one record of the batch topic of any other kind. */
 void batch_record_add(struct strbuf *out,
 		      const Currant__Topic__BatchRecord *record);
 
+/* Appends the text of an item. */
+void batch_record_add_text(struct strbuf *out, const char *batch, uint32_t item,
+			   const void *text, size_t len);
+
 #endif
--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -15,14 +15,14 @@
 /* An item whose run was cut waits this long, so that no loop spins. */
 #define CUT_PAUSE_NS (10 * NS_PER_MS)
 
-struct batch_item *runner_item(const struct run_item *item)
+const char *runner_item_id(const struct run_item *item)
 {
-	return &item->owner->batch->items[item->number];
+	return item->owner->batch->items[item->number].id;
 }
 
 const char *runner_model(const struct run_item *item)
 {
-	const char *model = runner_item(item)->spec->model;
+	const char *model = item->spec->model;
 
 	return *model ? model : item->owner->batch->model;
 }
@@ -33,8 +33,7 @@
 	if (!runner->config->current)
 		return NULL;
 	return entry_config_route(runner->config->current,
-				  item->owner->batch->host,
-				  runner_item(item)->spec->path);
+				  item->owner->batch->host, item->spec->path);
 }
 
 int64_t runner_now_ns(const struct batch_runner *runner)
@@ -121,7 +120,7 @@
 }
 
 static void on_listed(struct batch_table_listener *listener,
-		      struct batch *batch, struct batch_item *listed)
+		      struct batch *batch, uint32_t listed)
 {
 	struct owned_partition *owned = owned_of(listener);
 	struct run_batch *run_batch = runner_find_batch(owned, batch);
@@ -129,54 +128,35 @@
 
 	if (!run_batch)
 		return;
-	item = &run_batch->items[listed - batch->items];
+	item = &run_batch->items[listed];
 	if (item->state == RUN_ITEM_WAITING)
 		run_batch->waiting--;
 	if (item->run)
 		item_run_cancel(item->run);
 	item->state = RUN_ITEM_DONE;
-	run_batch->groups[item->group].left--;
-	item_text_finish(&item->made);
+	if (run_batch->is_loaded)
+		run_batch->groups[item->group].left--;
 	if (batch_is_done(batch))
 		runner_remove_batch(owned, run_batch);
 	update_watch(owned->runner);
 	batch_runner_wake(owned->runner);
 }
 
-/* The text of an item that the trainer has, for when its group comes again. */
-static void keep_result(struct batch_runner *runner,
-			const struct batch_item *item)
-{
-	struct item_text made;
-
-	if (!item->result || item->state != BATCH_ITEM_COMPLETE ||
-	    item->result->version_count > ITEM_VERSIONS_MAX)
-		return;
-	item_text_init(&made);
-	strbuf_add(&made.text, item->result->text, item->result->len);
-	made.complete = 1;
-	made.last_event = 0;
-	made.version_count = item->result->version_count;
-	memcpy(made.versions, item->result->versions,
-	       made.version_count * sizeof(made.versions[0]));
-	carried_texts_keep(&runner->carried, item->id, &made);
-	item_text_finish(&made);
-}
-
-/* Groups that are not whole may come again with the trainer's next batch. */
+/*
+ * Groups that are not whole may come again with the trainer's next batch,
+ * those of their items included that the trainer has.
+ */
 static void keep_texts(struct batch_runner *runner,
 		       const struct run_batch *run_batch)
 {
 	const struct batch *batch = run_batch->batch;
 
+	if (!run_batch->is_loaded)
+		return;
 	for (uint32_t i = 0; i < batch->item_count; i++) {
 		const struct run_item *item = &run_batch->items[i];
 
-		if (!run_batch->groups[item->group].left)
-			continue;
-		if (item->state == RUN_ITEM_DONE)
-			keep_result(runner, &batch->items[i]);
-		else
+		if (run_batch->groups[item->group].left)
 			carried_texts_keep(&runner->carried, batch->items[i].id,
 					   &item->made);
 	}
@@ -202,7 +182,7 @@
 
 	record_begin(&record, runner->log, "items", "run_ended");
 	record_text(&record, "batch", run->item->owner->batch->id);
-	record_text(&record, "item", runner_item(run->item)->id);
+	record_text(&record, "item", runner_item_id(run->item));
 	record_text(&record, "server", run->engine->server->entry.id);
 	record_text(&record, "outcome", outcome);
 	record_int(&record, "status", run->answer.status);
@@ -315,9 +295,9 @@
 
 void batch_runner_init(struct batch_runner *runner, struct reactor *reactor,
 		       struct net_pool *pool, struct fleet *fleet,
-		       struct config_holder *config, struct record_log *log,
-		       struct counter_set *counters, const char *data_centre,
-		       uint64_t seed)
+		       struct config_holder *config, struct topic_log *store,
+		       struct record_log *log, struct counter_set *counters,
+		       const char *data_centre, uint64_t seed)
 {
 	char name[COUNTER_NAME_MAX];
 
@@ -327,6 +307,7 @@
 	runner->pool = pool;
 	runner->fleet = fleet;
 	runner->config = config;
+	runner->store = store;
 	runner->log = log;
 	runner->data_centre = data_centre;
 	rng_init(&runner->rng, seed);
@@ -423,15 +404,6 @@
 	update_watch(runner);
 }
 
-static void remove_listener(struct owned_partition *owned)
-{
-	struct batch_table_listener **at = &owned->partition->table.listeners;
-
-	while (*at != &owned->listener)
-		at = &(*at)->next;
-	*at = owned->listener.next;
-}
-
 void batch_runner_leave(struct batch_runner *runner,
 			struct batch_partition *partition, int hand_over)
 {
@@ -443,7 +415,7 @@
 	if (hand_over)
 		runner_store_progress(runner, owned);
 	*at = owned->next;
-	remove_listener(owned);
+	batch_table_remove_listener(&partition->table, &owned->listener);
 	topic_follower_unwant(&partition->follower);
 	free_owned(owned);
 	update_watch(runner);
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -39,6 +39,7 @@
 	struct net_pool *pool;
 	struct fleet *fleet;
 	struct config_holder *config;
+	struct topic_log *store;
 	struct record_log *log;
 	const char *data_centre;
 	struct rng rng;
@@ -59,9 +60,9 @@
 
 void batch_runner_init(struct batch_runner *runner, struct reactor *reactor,
 		       struct net_pool *pool, struct fleet *fleet,
-		       struct config_holder *config, struct record_log *log,
-		       struct counter_set *counters, const char *data_centre,
-		       uint64_t seed);
+		       struct config_holder *config, struct topic_log *store,
+		       struct record_log *log, struct counter_set *counters,
+		       const char *data_centre, uint64_t seed);
 void batch_runner_finish(struct batch_runner *runner);
 
 /* Runs the open batches of the partition, and those that come. */
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -3,8 +3,7 @@
 
 #include "batch/batch_runner.h"
 
-/* The batch's item, with what it was submitted with. */
-struct batch_item *runner_item(const struct run_item *item);
+const char *runner_item_id(const struct run_item *item);
 
 /* Model of an item; that of its batch if it names none. */
 const char *runner_model(const struct run_item *item);
@@ -33,6 +32,18 @@
 void runner_requeue(struct batch_runner *runner, struct item_run *run,
 		    const char *reason);
 
+/* Reads what the batch was submitted with, and lets its items run. */
+void runner_load_batch(struct run_batch *batch);
+
+/*
+ * Reads the texts that an earlier owner of the partition has noted. Returns 0
+ * if there are none; else calls runner_start_batch() when it has.
+ */
+int runner_load_progress(struct run_batch *batch);
+
+/* All that there is of the batch has been read: its items may run. */
+void runner_start_batch(struct run_batch *batch);
+
 /* Takes a batch of an owned partition over; nothing if it is done. */
 void runner_add_batch(struct owned_partition *owned, struct batch *batch);
 void runner_remove_batch(struct owned_partition *owned,
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -19,10 +19,15 @@
 	struct net_request_owner owner;
 	struct batch_api *api;
 	struct net_request *request; /* NULL: its caller is gone or answered */
+	struct batch_partition *partition;
+	struct batch_draft draft;
+	struct batch_acceptance acceptance; /* the texts are the next four */
 	char *batch;
-	struct batch_write *write;
+	char *team;
+	char *host;
+	char *path;
+	struct batch_write *write; /* of the items, then of the acceptance */
 	struct timer timer;
-	uint32_t items;
 	struct batch_submission *next;
 	struct batch_submission **at;
 };
@@ -34,7 +39,11 @@
 	*submission->at = submission->next;
 	if (submission->next)
 		submission->next->at = submission->at;
+	batch_draft_finish(&submission->draft);
 	free(submission->batch);
+	free(submission->team);
+	free(submission->host);
+	free(submission->path);
 	free(submission);
 }
 
@@ -88,8 +97,21 @@
 	       &refusal);
 }
 
-static void on_written(struct batch_write *write,
-		       enum topic_write_outcome outcome)
+static void refuse_too_large(struct batch_submission *submission)
+{
+	struct refusal refusal = {
+		.status = 413,
+		.type = "batch_too_large",
+		.detail = "the batch or an item is larger than the store takes",
+		.retry_after_ns = -1,
+	};
+
+	refuse(submission->api, submission->request, submission->batch,
+	       &refusal);
+}
+
+static void on_accepted(struct batch_write *write,
+			enum topic_write_outcome outcome)
 {
 	struct batch_submission *submission = write->arg;
 	struct batch_api *api = submission->api;
@@ -103,9 +125,48 @@
 			refuse_store(submission);
 		else
 			answer_accepted(api, submission->request,
-					submission->batch, submission->items,
-					"stored");
+					submission->batch,
+					submission->draft.item_count, "stored");
+	}
+	free_submission(submission);
+}
+
+/* From here on the batch may run, whatever becomes of this call. */
+static void write_acceptance(struct batch_submission *submission)
+{
+	struct batch_write *write = batch_write_new(submission->partition, 0,
+						    on_accepted, submission);
+
+	write->base.record_count = 1;
+	if (batch_record_add_accepted(
+		    &write->base.records, &submission->draft,
+		    &submission->acceptance,
+		    submission->api->store->max_record_bytes)) {
+		batch_write_free(write);
+		refuse_too_large(submission);
+		free_submission(submission);
+		return;
+	}
+	submission->write = write;
+	batch_write_start(write);
+}
+
+/* Until the acceptance is written, nothing can run. */
+static void on_items_stored(struct batch_write *write,
+			    enum topic_write_outcome outcome)
+{
+	struct batch_submission *submission = write->arg;
+	uint64_t offset = write->base.offset;
+
+	batch_write_free(write);
+	submission->write = NULL;
+	if (submission->request && outcome == TOPIC_WRITE_DONE) {
+		submission->acceptance.items_offset = offset;
+		write_acceptance(submission);
+		return;
 	}
+	if (submission->request)
+		refuse_store(submission);
 	free_submission(submission);
 }
 
@@ -113,6 +174,7 @@
 static void on_timeout(void *arg, int64_t now_ns)
 {
 	struct batch_submission *submission = arg;
+	int was_withdrawn = batch_write_withdraw(submission->write);
 	struct refusal refusal = {
 		.status = 504,
 		.type = "outcome_unknown",
@@ -122,15 +184,16 @@
 	};
 
 	(void)now_ns;
-	if (batch_write_withdraw(submission->write)) {
-		batch_write_free(submission->write);
+	if (was_withdrawn || submission->write->is_text)
 		refuse_store(submission);
-		free_submission(submission);
-		return;
-	}
-	refuse(submission->api, submission->request, submission->batch,
-	       &refusal);
-	submission->request = NULL; /* the write goes on */
+	else
+		refuse(submission->api, submission->request, submission->batch,
+		       &refusal);
+	submission->request = NULL;
+	if (!was_withdrawn)
+		return; /* the write goes on, and nobody waits for it */
+	batch_write_free(submission->write);
+	free_submission(submission);
 }
 
 static void on_gone(struct net_request_owner *owner)
@@ -193,52 +256,42 @@
 	return PATIENCE_NS;
 }
 
-/* Appends the batch to its partition; -1 if it cannot be stored at all. */
-static int start_write(struct batch_submission *submission,
-		       const struct batch_draft *draft,
-		       const struct caller_request *caller,
-		       const struct entry_route *route,
-		       const struct entry_team *team, const char *path)
+static void fill_acceptance(struct batch_submission *submission,
+			    const struct entry_route *route)
 {
-	struct batch_api *api = submission->api;
-	struct batch_partition *partition =
-		batch_set_place(api->set, draft->model, route->path_prefix);
-	struct batch_acceptance acceptance = {
-		.batch = submission->batch,
-		.writer = rng_next(&api->rng),
-		.accepted_ms = wall_now_ms(),
-		.team = team ? team->name : "",
-		.host = caller->host,
-		.path = path,
-		.due_ms = route->due_ms,
-		.retention_ms = route->retention_ms,
-		.max_attempts = route->max_attempts,
-		.single_version = route->single_version,
-	};
-	struct batch_write *write =
-		batch_write_new(partition, on_written, submission);
-
-	if (batch_record_add_submission(
-		    &write->base.records, draft, &acceptance,
-		    api->store->max_record_bytes, &write->base.record_count)) {
-		batch_write_free(write);
-		return -1;
-	}
-	submission->write = write;
-	batch_write_start(write);
-	return 0;
+	struct batch_acceptance *acceptance = &submission->acceptance;
+
+	acceptance->batch = submission->batch;
+	acceptance->accepted_ms = wall_now_ms();
+	acceptance->team = submission->team;
+	acceptance->host = submission->host;
+	acceptance->path = submission->path;
+	acceptance->due_ms = route->due_ms;
+	acceptance->retention_ms = route->retention_ms;
+	acceptance->max_attempts = route->max_attempts;
+	acceptance->single_version = route->single_version;
 }
 
-static struct batch_submission *new_submission(struct batch_api *api,
-					       struct net_request *request,
-					       const char *batch)
+/* Takes the draft. */
+static struct batch_submission *
+new_submission(struct batch_api *api, struct net_request *request,
+	       const struct caller_request *caller,
+	       const struct entry_route *route, const struct entry_team *team,
+	       const struct batch_draft *draft)
 {
 	struct batch_submission *submission = xcalloc(1, sizeof(*submission));
 
 	submission->owner.vt = &owner_vtable;
 	submission->api = api;
 	submission->request = request;
-	submission->batch = xstrdup(batch);
+	submission->partition =
+		batch_set_place(api->set, draft->model, route->path_prefix);
+	submission->draft = *draft;
+	submission->batch = xstrdup(caller->id);
+	submission->team = xstrdup(team ? team->name : "");
+	submission->host = xstrdup(caller->host ? caller->host : "");
+	submission->path = xstrdup(http_head_target(request->head));
+	fill_acceptance(submission, route);
 	submission->next = api->submissions;
 	submission->at = &api->submissions;
 	if (submission->next)
@@ -248,18 +301,23 @@
 	return submission;
 }
 
-static void refuse_too_large(struct batch_submission *submission)
+static void write_items(struct batch_submission *submission)
 {
-	struct refusal refusal = {
-		.status = 413,
-		.type = "item_too_large",
-		.detail = "an item is larger than the store takes",
-		.retry_after_ns = -1,
-	};
+	struct batch_write *write = batch_write_new(
+		submission->partition, 1, on_items_stored, submission);
 
-	refuse(submission->api, submission->request, submission->batch,
-	       &refusal);
-	free_submission(submission);
+	if (batch_record_add_items(&write->base.records, submission->batch,
+				   &submission->draft,
+				   submission->api->store->max_record_bytes,
+				   &write->base.record_count)) {
+		batch_write_free(write);
+		refuse_too_large(submission);
+		free_submission(submission);
+		return;
+	}
+	submission->acceptance.items_records = write->base.record_count;
+	submission->write = write;
+	batch_write_start(write);
 }
 
 /* Whether the batch was accepted before, here or elsewhere. */
@@ -298,17 +356,14 @@
 	    check_draft(api, request, caller->id, request->body.buf,
 			request->body.len, &draft))
 		return;
-	if (!check_gate(api, request, caller->id, &draft, route)) {
-		submission = new_submission(api, request, caller->id);
-		submission->items = draft.item_count;
-		timer_subscribe_once(&api->reactor->timers, &submission->timer,
-				     patience_ns(caller), on_timeout,
-				     submission);
-		if (start_write(submission, &draft, caller, route, team,
-				http_head_target(request->head)))
-			refuse_too_large(submission);
+	if (check_gate(api, request, caller->id, &draft, route)) {
+		batch_draft_finish(&draft);
+		return;
 	}
-	batch_draft_finish(&draft);
+	submission = new_submission(api, request, caller, route, team, &draft);
+	timer_subscribe_once(&api->reactor->timers, &submission->timer,
+			     patience_ns(caller), on_timeout, submission);
+	write_items(submission);
 }
 
 void batch_submissions_finish(struct batch_api *api)
--- a/batch/batch_table.h
+++ b/batch/batch_table.h
@@ -20,7 +20,7 @@
 			 struct batch *batch);
 	/* An item has its result and its position. */
 	void (*listed)(struct batch_table_listener *listener,
-		       struct batch *batch, struct batch_item *item);
+		       struct batch *batch, uint32_t item);
 	void (*ended)(struct batch_table_listener *listener,
 		      struct batch *batch);
 	/* Another host runs the items from now on, or nobody. */
@@ -31,21 +31,16 @@
 	struct batch_table_listener *next;
 };
 
-/* A submission whose parts have not all come. */
-struct batch_candidate;
-
 struct batch_table {
 	struct batch *buckets[BATCH_TABLE_BUCKETS];
 	struct batch *oldest;
 	struct batch *newest;
 	uint32_t count;
-	struct batch_candidate *candidates;
 	struct batch_table_listener *listeners;
 	/* Who runs the items; "": nobody. */
 	char owner[BATCH_HOST_BYTES];
 	uint64_t owner_incarnation;
 	uint64_t claim_offset;
-	uint64_t held_text_bytes; /* of results */
 	uint64_t malformed; /* records that could not be read */
 };
 
@@ -53,17 +48,12 @@
 void batch_table_finish(struct batch_table *table);
 void batch_table_add_listener(struct batch_table *table,
 			      struct batch_table_listener *listener);
+void batch_table_remove_listener(struct batch_table *table,
+				 struct batch_table_listener *listener);
 
 void batch_table_apply(struct batch_table *table, uint64_t offset,
 		       const uint8_t *data, size_t len, int64_t now_ns);
 
-/*
- * A record that was read again: holds its text once more, if it is the one
- * that gave an item of the batch its result.
- */
-void batch_table_restore(struct batch_table *table, struct batch *batch,
-			 uint64_t offset, const uint8_t *data, size_t len);
-
 struct batch *batch_table_find(const struct batch_table *table, const char *id);
 
 /* Frees batches that are done and were accepted before `before_ms`. */
--- a/batch/item_run.c
+++ b/batch/item_run.c
@@ -188,7 +188,7 @@
 static void write_head(struct item_run *run, const struct item_run_start *start)
 {
 	const struct batch *batch = batch_of(run);
-	const struct batch_item *item = &batch->items[run->item->number];
+	const Currant__Topic__BatchItem *spec = run->item->spec;
 	struct server_request request = {
 		.time_left_ms = -1,
 		.server_id = run->engine->server->entry.id,
@@ -197,9 +197,9 @@
 		.last_event_id = run->item->made.last_event,
 	};
 
-	platform_write_item_request(&run->head, batch->host, item->spec->path,
-				    item->id, item->spec->fields, &request,
-				    item->spec->body.len);
+	platform_write_item_request(&run->head, batch->host, spec->path,
+				    spec->id, spec->fields, &request,
+				    spec->body.len);
 }
 
 struct item_run *item_run_start(struct item_run_owner *owner,
@@ -208,7 +208,6 @@
 				const struct item_run_start *start)
 {
 	struct item_run *run = xcalloc(1, sizeof(*run));
-	const struct batch *batch = item->owner->batch;
 
 	run->owner = owner;
 	run->item = item;
@@ -235,8 +234,8 @@
 	run->net.address = engine->server->entry.address;
 	run->net.head = run->head.buf;
 	run->net.head_len = run->head.len;
-	run->net.body = batch->items[item->number].spec->body.data;
-	run->net.body_len = batch->items[item->number].spec->body.len;
+	run->net.body = item->spec->body.data;
+	run->net.body_len = item->spec->body.len;
 	net_call_start(start->pool, &run->net);
 	return run;
 }
--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -168,7 +168,8 @@
 	claim.release = release;
 	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_CLAIM;
 	record.claim = &claim;
-	kept->claim = batch_write_new(kept->partition, on_claim_stored, kept);
+	kept->claim =
+		batch_write_new(kept->partition, 0, on_claim_stored, kept);
 	batch_write_add(kept->claim, &record);
 	batch_write_start(kept->claim);
 }
--- a/batch/run_item.h
+++ b/batch/run_item.h
@@ -3,6 +3,7 @@
 
 #include "base/strbuf.h"
 #include "batch/batch.h"
+#include "batch/items_load.h"
 
 /* An open item of a batch that this daemon runs, and what came of it. */
 #define ITEM_VERSIONS_MAX 8
@@ -24,10 +25,12 @@
 };
 
 struct item_run;
+struct owned_partition;
 struct run_batch;
 
 struct run_item {
 	struct run_batch *owner;
+	const Currant__Topic__BatchItem *spec; /* once it was read */
 	uint32_t number; /* in the batch */
 	enum run_item_state state;
 	struct item_text made;
@@ -39,7 +42,7 @@
 };
 
 struct run_group {
-	const char *name; /* of the batch's specs */
+	const char *name; /* of its items' specs */
 	uint32_t size;
 	uint32_t left; /* items that are not listed */
 	int is_required; /* it was in an earlier batch */
@@ -48,6 +51,12 @@
 /* A batch of a partition that this daemon runs. */
 struct run_batch {
 	struct batch *batch;
+	struct owned_partition *owned;
+	struct items_load load; /* of what it was submitted with */
+	struct topic_read progress; /* texts that an earlier owner noted */
+	int reading_progress;
+	int is_loaded;
+	int64_t load_at_ns; /* a load that failed is tried again then */
 	struct run_item *items;
 	struct run_group *groups;
 	uint32_t group_count;
--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -5,6 +5,9 @@
 #include "batch/batch_runner_private.h"
 #include "policy/item_order.h"
 
+/* A batch whose items could not be read is tried again after this time. */
+#define LOAD_RETRY_NS (200 * NS_PER_MS)
+
 struct run_batch *runner_find_batch(struct owned_partition *owned,
 				    const struct batch *batch)
 {
@@ -27,14 +30,14 @@
 
 static void make_groups(struct run_batch *batch)
 {
-	struct batch *of = batch->batch;
+	const struct batch *of = batch->batch;
 
 	batch->groups = xcalloc(of->item_count, sizeof(*batch->groups));
 	for (uint32_t i = 0; i < of->item_count; i++) {
 		struct run_item *item = &batch->items[i];
 		struct run_group *group;
 
-		item->group = find_group(batch, of->items[i].spec->group);
+		item->group = find_group(batch, item->spec->group);
 		group = &batch->groups[item->group];
 		group->size++;
 		if (of->items[i].state == BATCH_ITEM_OPEN)
@@ -46,11 +49,10 @@
 static void take_carried(struct batch_runner *runner, struct run_item *item)
 {
 	const struct batch *batch = item->owner->batch;
-	const char *id = batch->items[item->number].id;
 	struct item_text made;
 
 	item_text_init(&made);
-	if (carried_texts_take(&runner->carried, id, &made)) {
+	if (carried_texts_take(&runner->carried, runner_item_id(item), &made)) {
 		item->owner->groups[item->group].is_required = 1;
 		if (item_text_fits(&made, batch->min_version,
 				   batch->single_version)) {
@@ -61,27 +63,14 @@
 	item_text_finish(&made);
 }
 
-/* What an earlier owner of the partition has noted. */
+/* Failed runs count on, whoever runs the item. */
 static void take_progress(struct run_item *item)
 {
-	const struct batch *batch = item->owner->batch;
-	const Currant__Topic__BatchRecord *record =
-		batch->items[item->number].progress;
-	const Currant__Topic__ItemProgress *progress;
+	const Currant__Topic__ItemProgress *progress =
+		batch_find_progress(item->owner->batch, item->number);
 
-	if (!record)
-		return;
-	progress = record->progress;
-	item->failed_runs = progress->failed_runs;
-	if (progress->last_event <= item->made.last_event ||
-	    progress->n_versions > ITEM_VERSIONS_MAX)
-		return;
-	item_text_reset(&item->made);
-	strbuf_add(&item->made.text, progress->text.data, progress->text.len);
-	item->made.last_event = progress->last_event;
-	item->made.version_count = (uint32_t)progress->n_versions;
-	for (size_t i = 0; i < progress->n_versions; i++)
-		item->made.versions[i] = progress->versions[i];
+	if (progress)
+		item->failed_runs = progress->failed_runs;
 }
 
 static void init_items(struct run_batch *batch)
@@ -93,6 +82,7 @@
 		item->owner = batch;
 		item->number = i;
 		item_text_init(&item->made);
+		take_progress(item);
 		if (batch->batch->items[i].state != BATCH_ITEM_OPEN)
 			item->state = RUN_ITEM_DONE;
 		else
@@ -108,18 +98,17 @@
 		if (item->state != RUN_ITEM_WAITING)
 			continue;
 		take_carried(runner, item);
-		take_progress(item);
 		if (item->made.complete)
 			runner_store_result(runner, item, BATCH_ITEM_COMPLETE,
 					    "carried");
 	}
 }
 
-static uint64_t expected_tokens(const struct batch *batch)
+static uint64_t expected_tokens(const struct run_batch *batch)
 {
 	double tokens = 0;
 
-	for (uint32_t i = 0; i < batch->item_count; i++) {
+	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		const Currant__Topic__BatchItem *spec = batch->items[i].spec;
 
 		tokens += item_expected_tokens(spec->length_hint,
@@ -128,7 +117,8 @@
 	return (uint64_t)tokens;
 }
 
-static void tell_need(struct batch_runner *runner, struct run_batch *batch)
+static void tell_need(struct batch_runner *runner,
+		      const struct run_batch *batch)
 {
 	const struct entry_route *route =
 		runner_route(runner, &batch->items[0]);
@@ -136,7 +126,62 @@
 	if (runner->needs && route && route->target_count)
 		runner->needs->accepted(runner->needs, batch->batch,
 					route->targets[0].service,
-					expected_tokens(batch->batch));
+					expected_tokens(batch));
+}
+
+static void report_load(struct batch_runner *runner,
+			const struct run_batch *batch, int ok)
+{
+	struct record record;
+
+	record_begin(&record, runner->log, "items",
+		     ok ? "batch_taken" : "batch_not_read");
+	record_text(&record, "batch", batch->batch->id);
+	record_text(&record, "model", batch->batch->model);
+	record_int(&record, "step", (int64_t)batch->batch->step);
+	record_int(&record, "items", batch->batch->item_count);
+	record_int(&record, "listed", batch->batch->listed_count);
+	record_int(&record, "min_version", (int64_t)batch->batch->min_version);
+	record_ms(&record, "age_ms",
+		  runner_now_ns(runner) - batch->batch->applied_ns);
+	record_end(&record);
+}
+
+static void on_loaded(struct items_load *load, int ok)
+{
+	struct run_batch *batch = load->arg;
+	struct batch_runner *runner = batch->owned->runner;
+
+	report_load(runner, batch, ok);
+	if (!ok) {
+		items_load_finish(load);
+		batch->load_at_ns = runner_now_ns(runner) + LOAD_RETRY_NS;
+		return;
+	}
+	for (uint32_t i = 0; i < batch->batch->item_count; i++)
+		batch->items[i].spec = load->items[i];
+	if (!runner_load_progress(batch))
+		runner_start_batch(batch);
+}
+
+void runner_start_batch(struct run_batch *batch)
+{
+	struct batch_runner *runner = batch->owned->runner;
+
+	batch->is_loaded = 1;
+	make_groups(batch);
+	tell_need(runner, batch);
+	start_items(runner, batch);
+	batch_runner_wake(runner);
+}
+
+void runner_load_batch(struct run_batch *batch)
+{
+	struct owned_partition *owned = batch->owned;
+
+	batch->load_at_ns = 0;
+	items_load_start(&batch->load, owned->runner->store, owned->partition,
+			 batch->batch, on_loaded, batch);
 }
 
 void runner_add_batch(struct owned_partition *owned, struct batch *batch)
@@ -147,13 +192,12 @@
 		return;
 	added = xcalloc(1, sizeof(*added));
 	added->batch = batch;
+	added->owned = owned;
+	strbuf_init(&added->progress.records);
 	init_items(added);
-	make_groups(added);
 	added->next = owned->batches;
 	owned->batches = added;
-	tell_need(owned->runner, added);
-	start_items(owned->runner, added);
-	batch_runner_wake(owned->runner);
+	runner_load_batch(added);
 }
 
 void runner_remove_batch(struct owned_partition *owned, struct run_batch *batch)
@@ -168,6 +212,11 @@
 			item_run_cancel(batch->items[i].run);
 		item_text_finish(&batch->items[i].made);
 	}
+	if (batch->reading_progress)
+		owned->runner->store->vt->cancel(owned->runner->store,
+						 batch->progress.call);
+	strbuf_finish(&batch->progress.records);
+	items_load_finish(&batch->load);
 	free(batch->items);
 	free(batch->groups);
 	free(batch);
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -43,7 +43,7 @@
 static const char *item_service(const struct run_item *item,
 				const struct entry_route *route)
 {
-	uint64_t hash = hash_text(runner_item(item)->id, 0);
+	uint64_t hash = hash_text(runner_item_id(item), 0);
 
 	return entry_route_service(route, (double)(hash >> 11) /
 						  (double)(UINT64_C(1) << 53));
@@ -53,7 +53,7 @@
 			  const struct run_item *item,
 			  const struct entry_service *service)
 {
-	const Currant__Topic__BatchItem *spec = runner_item(item)->spec;
+	const Currant__Topic__BatchItem *spec = item->spec;
 	double done = tokens_done(item, service);
 
 	(void)runner;
@@ -95,6 +95,8 @@
 	int64_t now_ns = runner_now_ns(runner);
 	uint32_t count = 0;
 
+	if (!batch->is_loaded)
+		return 0;
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		struct run_item *item = &batch->items[i];
 
@@ -142,14 +144,14 @@
 
 static uint64_t prefix_of(const struct run_item *item)
 {
-	const Currant__Topic__BatchItem *spec = runner_item(item)->spec;
+	const Currant__Topic__BatchItem *spec = item->spec;
 
 	return spec->n_part_ids > 1 ? spec->part_ids[spec->n_part_ids - 2] : 0;
 }
 
 static double memory_of(const struct run_item *item, double left, double done)
 {
-	return runner_item(item)->spec->prompt_tokens + done + left;
+	return item->spec->prompt_tokens + done + left;
 }
 
 static void view_engine(struct batch_runner *runner,
@@ -211,7 +213,7 @@
 
 	record_begin(&record, runner->log, "items", "run_started");
 	record_text(&record, "batch", item->owner->batch->id);
-	record_text(&record, "item", runner_item(item)->id);
+	record_text(&record, "item", runner_item_id(item));
 	record_text(&record, "server", engine->server->entry.id);
 	record_int(&record, "run", item->runs);
 	record_int(&record, "after_event", item->made.last_event);
--- /dev/null
+++ b/batch/runner_progress.c
@@ -0,0 +1,96 @@
+#include "batch/batch_runner_private.h"
+
+/* Notes of one handover stand close together. */
+#define READ_BYTES (1024 * 1024)
+
+/* Where the first text stands that was noted; 0 if there is none. */
+static int first_text(const struct batch *batch, uint64_t *from)
+{
+	int found = 0;
+
+	for (const struct batch_progress *p = batch->progress; p; p = p->next) {
+		const Currant__Topic__ItemProgress *progress =
+			p->record->progress;
+
+		if (!progress->text_bytes ||
+		    (found && progress->text_offset >= *from))
+			continue;
+		*from = progress->text_offset;
+		found = 1;
+	}
+	return found;
+}
+
+/* Goes on with a text whose weights the batch allows. */
+static void adopt(struct run_item *item,
+		  const Currant__Topic__ItemProgress *progress,
+		  const Currant__Topic__ItemText *text)
+{
+	struct item_text *made = &item->made;
+
+	if (item->state != RUN_ITEM_WAITING ||
+	    progress->last_event <= made->last_event ||
+	    progress->n_versions > ITEM_VERSIONS_MAX)
+		return;
+	item_text_reset(made);
+	strbuf_add(&made->text, text->text.data, text->text.len);
+	made->last_event = progress->last_event;
+	made->version_count = (uint32_t)progress->n_versions;
+	for (size_t i = 0; i < progress->n_versions; i++)
+		made->versions[i] = progress->versions[i];
+}
+
+static void take_record(struct run_batch *batch, uint64_t offset,
+			const uint8_t *data, size_t len)
+{
+	Currant__Topic__TextRecord *record =
+		currant__topic__text_record__unpack(NULL, len, data);
+	const Currant__Topic__ItemProgress *progress;
+
+	if (!record)
+		return;
+	if (record->kind_case == CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT &&
+	    record->text->item < batch->batch->item_count) {
+		progress =
+			batch_find_progress(batch->batch, record->text->item);
+		if (progress && progress->text_bytes &&
+		    progress->text_offset == offset)
+			adopt(&batch->items[record->text->item], progress,
+			      record->text);
+	}
+	currant__topic__text_record__free_unpacked(record, NULL);
+}
+
+/* Without the texts, items begin anew. */
+static void on_read(struct topic_read *read)
+{
+	struct run_batch *batch = read->arg;
+	uint64_t offset = read->from;
+	const uint8_t *data;
+	size_t len;
+	size_t at = 0;
+
+	batch->reading_progress = 0;
+	if (read->outcome == TOPIC_OK)
+		while (topic_next_record(&read->records, &at, &data, &len))
+			take_record(batch, offset++, data, len);
+	strbuf_finish(&read->records);
+	runner_start_batch(batch);
+}
+
+int runner_load_progress(struct run_batch *batch)
+{
+	struct owned_partition *owned = batch->owned;
+	struct topic_log *store = owned->runner->store;
+	uint64_t from;
+
+	if (!first_text(batch->batch, &from))
+		return 0;
+	batch_text_read_init(owned->partition, &batch->progress, from,
+			     READ_BYTES);
+	batch->progress.done = on_read;
+	batch->progress.arg = batch;
+	batch->reading_progress = 1;
+	store->vt->read(store, &batch->progress);
+	return 1;
+}
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -1,21 +1,140 @@
+#include <stdlib.h>
+
+#include "base/alloc.h"
 #include "batch/batch_runner_private.h"
 
-static struct owned_partition *owned_of(struct batch_runner *runner,
-					const struct run_item *item)
-{
-	struct owned_partition *owned = runner->owned;
+/* A result or a note of progress on its way: first its text, then its record.
+ */
+struct outgoing {
+	struct batch_runner *runner;
+	struct batch_partition *partition;
+	char *batch;
+	uint32_t item;
+	int is_progress;
+	enum batch_item_state state;
+	const char *reason; /* a constant; NULL: none */
+	int64_t last_event;
+	uint32_t failed_runs;
+	uint64_t versions[ITEM_VERSIONS_MAX];
+	uint32_t version_count;
+	uint32_t text_bytes;
+	uint64_t text_offset;
+};
 
-	while (owned && !runner_find_batch(owned, item->owner->batch))
-		owned = owned->next;
-	return owned;
+static void free_outgoing(struct outgoing *out)
+{
+	free(out->batch);
+	free(out);
 }
 
 /* The table has told everybody by now, or a refresh will. */
-static void on_result_stored(struct batch_write *write,
+static void on_record_stored(struct batch_write *write,
 			     enum topic_write_outcome outcome)
 {
 	(void)outcome;
+	free_outgoing(write->arg);
+	batch_write_free(write);
+}
+
+static void fill_result(const struct outgoing *out,
+			Currant__Topic__ItemResult *result)
+{
+	currant__topic__item_result__init(result);
+	result->batch = out->batch;
+	result->item = out->item;
+	result->state = out->state == BATCH_ITEM_COMPLETE
+				? CURRANT__TOPIC__ITEM_STATE__COMPLETE
+				: CURRANT__TOPIC__ITEM_STATE__GIVEN_UP;
+	result->versions = (uint64_t *)out->versions;
+	result->n_versions = out->version_count;
+	result->reason = (char *)(out->reason ? out->reason : "");
+	result->text_offset = out->text_offset;
+	result->text_bytes = out->text_bytes;
+}
+
+static void fill_progress(const struct outgoing *out,
+			  Currant__Topic__ItemProgress *progress)
+{
+	currant__topic__item_progress__init(progress);
+	progress->batch = out->batch;
+	progress->item = out->item;
+	progress->last_event = out->last_event;
+	progress->failed_runs = out->failed_runs;
+	progress->versions = (uint64_t *)out->versions;
+	progress->n_versions = out->version_count;
+	progress->text_offset = out->text_offset;
+	progress->text_bytes = out->text_bytes;
+}
+
+static void write_record(struct outgoing *out)
+{
+	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
+	Currant__Topic__ItemResult result;
+	Currant__Topic__ItemProgress progress;
+	struct batch_write *write =
+		batch_write_new(out->partition, 0, on_record_stored, out);
+
+	if (out->is_progress) {
+		fill_progress(out, &progress);
+		record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_PROGRESS;
+		record.progress = &progress;
+	} else {
+		fill_result(out, &result);
+		record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_RESULT;
+		record.result = &result;
+	}
+	write->base.persistent = 1;
+	batch_write_add(write, &record);
+	batch_write_start(write);
+}
+
+static void on_text_stored(struct batch_write *write,
+			   enum topic_write_outcome outcome)
+{
+	struct outgoing *out = write->arg;
+
+	if (outcome != TOPIC_WRITE_DONE) {
+		/* It stands, but nobody knows where: once more. */
+		batch_write_start(write);
+		return;
+	}
+	out->text_offset = write->base.offset;
 	batch_write_free(write);
+	write_record(out);
+}
+
+static void write_text(struct outgoing *out, const struct item_text *made)
+{
+	struct batch_write *write;
+
+	if (!out->text_bytes) {
+		write_record(out);
+		return;
+	}
+	write = batch_write_new(out->partition, 1, on_text_stored, out);
+	write->base.persistent = 1;
+	write->base.record_count = 1;
+	batch_record_add_text(&write->base.records, out->batch, out->item,
+			      made->text.buf, made->text.len);
+	batch_write_start(write);
+}
+
+static struct outgoing *new_outgoing(struct batch_runner *runner,
+				     const struct run_item *item)
+{
+	struct outgoing *out = xcalloc(1, sizeof(*out));
+
+	out->runner = runner;
+	out->partition = item->owner->owned->partition;
+	out->batch = xstrdup(item->owner->batch->id);
+	out->item = item->number;
+	out->last_event = item->made.last_event;
+	out->failed_runs = item->failed_runs;
+	out->version_count = item->made.version_count;
+	for (uint32_t i = 0; i < out->version_count; i++)
+		out->versions[i] = item->made.versions[i];
+	out->text_bytes = (uint32_t)item->made.text.len;
+	return out;
 }
 
 static void report(struct batch_runner *runner, const struct run_item *item,
@@ -25,7 +144,7 @@
 
 	record_begin(&record, runner->log, "items", event);
 	record_text(&record, "batch", item->owner->batch->id);
-	record_text(&record, "item", runner_item(item)->id);
+	record_text(&record, "item", runner_item_id(item));
 	record_int(&record, "events", item->made.last_event);
 	record_int(&record, "versions", item->made.version_count);
 	record_int(&record, "version",
@@ -39,77 +158,40 @@
 void runner_store_result(struct batch_runner *runner, struct run_item *item,
 			 enum batch_item_state state, const char *reason)
 {
-	struct owned_partition *owned = owned_of(runner, item);
-	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
-	Currant__Topic__ItemResult result = CURRANT__TOPIC__ITEM_RESULT__INIT;
-	struct batch_write *write;
+	struct outgoing *out = new_outgoing(runner, item);
 
-	result.batch = item->owner->batch->id;
-	result.item = item->number;
-	result.state = state == BATCH_ITEM_COMPLETE
-			       ? CURRANT__TOPIC__ITEM_STATE__COMPLETE
-			       : CURRANT__TOPIC__ITEM_STATE__GIVEN_UP;
-	result.text.data = (uint8_t *)item->made.text.buf;
-	result.text.len = item->made.text.len;
-	result.versions = item->made.versions;
-	result.n_versions = item->made.version_count;
-	result.reason = (char *)(reason ? reason : "");
-	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_RESULT;
-	record.result = &result;
-	write = batch_write_new(owned->partition, on_result_stored, NULL);
-	write->base.persistent = 1;
-	batch_write_add(write, &record);
+	out->state = state;
+	out->reason = reason;
 	if (item->state == RUN_ITEM_WAITING)
 		item->owner->waiting--;
 	item->state = RUN_ITEM_STORING;
 	counter_add(runner->results, 1);
 	report(runner, item,
 	       state == BATCH_ITEM_COMPLETE ? "complete" : "given_up", reason);
-	batch_write_start(write);
-}
-
-static void add_progress(struct batch_write *write, const struct run_item *item)
-{
-	Currant__Topic__BatchRecord record = CURRANT__TOPIC__BATCH_RECORD__INIT;
-	Currant__Topic__ItemProgress progress =
-		CURRANT__TOPIC__ITEM_PROGRESS__INIT;
-
-	progress.batch = item->owner->batch->id;
-	progress.item = item->number;
-	progress.last_event = item->made.last_event;
-	progress.text.data = (uint8_t *)item->made.text.buf;
-	progress.text.len = item->made.text.len;
-	progress.versions = (uint64_t *)item->made.versions;
-	progress.n_versions = item->made.version_count;
-	progress.failed_runs = item->failed_runs;
-	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_PROGRESS;
-	record.progress = &progress;
-	batch_write_add(write, &record);
+	write_text(out, &item->made);
 }
 
-static void add_batch_progress(struct batch_write *write,
-			       const struct run_batch *batch)
+static void store_batch_progress(struct batch_runner *runner,
+				 const struct run_batch *batch)
 {
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		const struct run_item *item = &batch->items[i];
+		struct outgoing *out;
 
-		if (item->state != RUN_ITEM_DONE &&
-		    (item->made.last_event >= 0 || item->failed_runs))
-			add_progress(write, item);
+		if (item->state != RUN_ITEM_WAITING &&
+		    item->state != RUN_ITEM_RUNNING)
+			continue;
+		if (item->made.last_event < 0 && !item->failed_runs)
+			continue;
+		out = new_outgoing(runner, item);
+		out->is_progress = 1;
+		write_text(out, &item->made);
 	}
 }
 
 void runner_store_progress(struct batch_runner *runner,
 			   struct owned_partition *owned)
 {
-	struct batch_write *write =
-		batch_write_new(owned->partition, on_result_stored, NULL);
-
-	(void)runner;
 	for (struct run_batch *b = owned->batches; b; b = b->next)
-		add_batch_progress(write, b);
-	if (write->base.record_count)
-		batch_write_start(write);
-	else
-		batch_write_free(write);
+		store_batch_progress(runner, b);
 }
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -50,6 +50,12 @@
 	int is_over = batch->batch->retention_ms &&
 		      age_ms > batch->batch->retention_ms;
 
+	if (!batch->is_loaded) {
+		if (batch->load_at_ns &&
+		    runner_now_ns(runner) >= batch->load_at_ns)
+			runner_load_batch(batch);
+		return;
+	}
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		struct run_item *item = &batch->items[i];
 
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -315,7 +315,7 @@
 		       daemon->incarnation + 2);
 	batch_runner_init(&daemon->batch_runner, &daemon->reactor,
 			  &daemon->server_pool, &daemon->fleet, &daemon->config,
-			  &daemon->log, &daemon->counters,
+			  &daemon->store.base, &daemon->log, &daemon->counters,
 			  daemon->settings.data_centre,
 			  daemon->incarnation + 3);
 	partition_keeper_init(&daemon->partition_keeper, &daemon->reactor,
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -457,94 +457,49 @@
   assert(message->base.descriptor == &currant__topic__batch_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   currant__topic__batch_part__init
-                     (Currant__Topic__BatchPart         *message)
+void   currant__topic__batch_accepted__init
+                     (Currant__Topic__BatchAccepted         *message)
 {
-  static const Currant__Topic__BatchPart init_value = CURRANT__TOPIC__BATCH_PART__INIT;
+  static const Currant__Topic__BatchAccepted init_value = CURRANT__TOPIC__BATCH_ACCEPTED__INIT;
   *message = init_value;
 }
-size_t currant__topic__batch_part__get_packed_size
-                     (const Currant__Topic__BatchPart *message)
+size_t currant__topic__batch_accepted__get_packed_size
+                     (const Currant__Topic__BatchAccepted *message)
 {
-  assert(message->base.descriptor == &currant__topic__batch_part__descriptor);
+  assert(message->base.descriptor == &currant__topic__batch_accepted__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t currant__topic__batch_part__pack
-                     (const Currant__Topic__BatchPart *message,
+size_t currant__topic__batch_accepted__pack
+                     (const Currant__Topic__BatchAccepted *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &currant__topic__batch_part__descriptor);
+  assert(message->base.descriptor == &currant__topic__batch_accepted__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t currant__topic__batch_part__pack_to_buffer
-                     (const Currant__Topic__BatchPart *message,
+size_t currant__topic__batch_accepted__pack_to_buffer
+                     (const Currant__Topic__BatchAccepted *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &currant__topic__batch_part__descriptor);
+  assert(message->base.descriptor == &currant__topic__batch_accepted__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Currant__Topic__BatchPart *
-       currant__topic__batch_part__unpack
+Currant__Topic__BatchAccepted *
+       currant__topic__batch_accepted__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Currant__Topic__BatchPart *)
-     protobuf_c_message_unpack (&currant__topic__batch_part__descriptor,
+  return (Currant__Topic__BatchAccepted *)
+     protobuf_c_message_unpack (&currant__topic__batch_accepted__descriptor,
                                 allocator, len, data);
 }
-void   currant__topic__batch_part__free_unpacked
-                     (Currant__Topic__BatchPart *message,
+void   currant__topic__batch_accepted__free_unpacked
+                     (Currant__Topic__BatchAccepted *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &currant__topic__batch_part__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   currant__topic__batch_item__init
-                     (Currant__Topic__BatchItem         *message)
-{
-  static const Currant__Topic__BatchItem init_value = CURRANT__TOPIC__BATCH_ITEM__INIT;
-  *message = init_value;
-}
-size_t currant__topic__batch_item__get_packed_size
-                     (const Currant__Topic__BatchItem *message)
-{
-  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t currant__topic__batch_item__pack
-                     (const Currant__Topic__BatchItem *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t currant__topic__batch_item__pack_to_buffer
-                     (const Currant__Topic__BatchItem *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Currant__Topic__BatchItem *
-       currant__topic__batch_item__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Currant__Topic__BatchItem *)
-     protobuf_c_message_unpack (&currant__topic__batch_item__descriptor,
-                                allocator, len, data);
-}
-void   currant__topic__batch_item__free_unpacked
-                     (Currant__Topic__BatchItem *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
+  assert(message->base.descriptor == &currant__topic__batch_accepted__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   currant__topic__item_result__init
@@ -727,6 +682,186 @@
   assert(message->base.descriptor == &currant__topic__item_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__topic__text_record__init
+                     (Currant__Topic__TextRecord         *message)
+{
+  static const Currant__Topic__TextRecord init_value = CURRANT__TOPIC__TEXT_RECORD__INIT;
+  *message = init_value;
+}
+size_t currant__topic__text_record__get_packed_size
+                     (const Currant__Topic__TextRecord *message)
+{
+  assert(message->base.descriptor == &currant__topic__text_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__text_record__pack
+                     (const Currant__Topic__TextRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__text_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__text_record__pack_to_buffer
+                     (const Currant__Topic__TextRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__text_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__TextRecord *
+       currant__topic__text_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__TextRecord *)
+     protobuf_c_message_unpack (&currant__topic__text_record__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__text_record__free_unpacked
+                     (Currant__Topic__TextRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__text_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__topic__batch_items__init
+                     (Currant__Topic__BatchItems         *message)
+{
+  static const Currant__Topic__BatchItems init_value = CURRANT__TOPIC__BATCH_ITEMS__INIT;
+  *message = init_value;
+}
+size_t currant__topic__batch_items__get_packed_size
+                     (const Currant__Topic__BatchItems *message)
+{
+  assert(message->base.descriptor == &currant__topic__batch_items__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__batch_items__pack
+                     (const Currant__Topic__BatchItems *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__batch_items__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__batch_items__pack_to_buffer
+                     (const Currant__Topic__BatchItems *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__batch_items__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__BatchItems *
+       currant__topic__batch_items__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__BatchItems *)
+     protobuf_c_message_unpack (&currant__topic__batch_items__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__batch_items__free_unpacked
+                     (Currant__Topic__BatchItems *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__batch_items__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__topic__batch_item__init
+                     (Currant__Topic__BatchItem         *message)
+{
+  static const Currant__Topic__BatchItem init_value = CURRANT__TOPIC__BATCH_ITEM__INIT;
+  *message = init_value;
+}
+size_t currant__topic__batch_item__get_packed_size
+                     (const Currant__Topic__BatchItem *message)
+{
+  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__batch_item__pack
+                     (const Currant__Topic__BatchItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__batch_item__pack_to_buffer
+                     (const Currant__Topic__BatchItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__BatchItem *
+       currant__topic__batch_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__BatchItem *)
+     protobuf_c_message_unpack (&currant__topic__batch_item__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__batch_item__free_unpacked
+                     (Currant__Topic__BatchItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__topic__item_text__init
+                     (Currant__Topic__ItemText         *message)
+{
+  static const Currant__Topic__ItemText init_value = CURRANT__TOPIC__ITEM_TEXT__INIT;
+  *message = init_value;
+}
+size_t currant__topic__item_text__get_packed_size
+                     (const Currant__Topic__ItemText *message)
+{
+  assert(message->base.descriptor == &currant__topic__item_text__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__item_text__pack
+                     (const Currant__Topic__ItemText *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__item_text__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__item_text__pack_to_buffer
+                     (const Currant__Topic__ItemText *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__item_text__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__ItemText *
+       currant__topic__item_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__ItemText *)
+     protobuf_c_message_unpack (&currant__topic__item_text__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__item_text__free_unpacked
+                     (Currant__Topic__ItemText *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__item_text__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor currant__topic__host_notice__field_descriptors[10] =
 {
   {
@@ -1475,13 +1610,13 @@
 static const ProtobufCFieldDescriptor currant__topic__batch_record__field_descriptors[5] =
 {
   {
-    "part",
+    "accepted",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Currant__Topic__BatchRecord, kind_case),
-    offsetof(Currant__Topic__BatchRecord, part),
-    &currant__topic__batch_part__descriptor,
+    offsetof(Currant__Topic__BatchRecord, accepted),
+    &currant__topic__batch_accepted__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1536,9 +1671,9 @@
   },
 };
 static const unsigned currant__topic__batch_record__field_indices_by_name[] = {
+  0,   /* field[0] = accepted */
   3,   /* field[3] = claim */
   2,   /* field[2] = end */
-  0,   /* field[0] = part */
   4,   /* field[4] = progress */
   1,   /* field[1] = result */
 };
@@ -1562,7 +1697,7 @@
   (ProtobufCMessageInit) currant__topic__batch_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__batch_part__field_descriptors[19] =
+static const ProtobufCFieldDescriptor currant__topic__batch_accepted__field_descriptors[16] =
 {
   {
     "batch",
@@ -1570,79 +1705,19 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, batch),
+    offsetof(Currant__Topic__BatchAccepted, batch),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "writer",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, writer),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "index",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "first_item",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, first_item),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "total_items",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, total_items),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "accepted_ms",
-    7,
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, accepted_ms),
+    offsetof(Currant__Topic__BatchAccepted, accepted_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1650,11 +1725,11 @@
   },
   {
     "team",
-    8,
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, team),
+    offsetof(Currant__Topic__BatchAccepted, team),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1662,11 +1737,11 @@
   },
   {
     "host",
-    9,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, host),
+    offsetof(Currant__Topic__BatchAccepted, host),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1674,11 +1749,11 @@
   },
   {
     "path",
-    10,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, path),
+    offsetof(Currant__Topic__BatchAccepted, path),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1686,11 +1761,11 @@
   },
   {
     "model",
-    11,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, model),
+    offsetof(Currant__Topic__BatchAccepted, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1698,11 +1773,11 @@
   },
   {
     "step",
-    12,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, step),
+    offsetof(Currant__Topic__BatchAccepted, step),
     NULL,
     NULL,
     0,             /* flags */
@@ -1710,11 +1785,11 @@
   },
   {
     "min_version",
-    13,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, min_version),
+    offsetof(Currant__Topic__BatchAccepted, min_version),
     NULL,
     NULL,
     0,             /* flags */
@@ -1722,11 +1797,11 @@
   },
   {
     "target_groups",
-    14,
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, target_groups),
+    offsetof(Currant__Topic__BatchAccepted, target_groups),
     NULL,
     NULL,
     0,             /* flags */
@@ -1734,11 +1809,11 @@
   },
   {
     "due_ms",
-    15,
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, due_ms),
+    offsetof(Currant__Topic__BatchAccepted, due_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1746,11 +1821,11 @@
   },
   {
     "retention_ms",
-    16,
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, retention_ms),
+    offsetof(Currant__Topic__BatchAccepted, retention_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1758,11 +1833,11 @@
   },
   {
     "max_attempts",
-    17,
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, max_attempts),
+    offsetof(Currant__Topic__BatchAccepted, max_attempts),
     NULL,
     NULL,
     0,             /* flags */
@@ -1770,11 +1845,11 @@
   },
   {
     "single_version",
-    18,
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchPart, single_version),
+    offsetof(Currant__Topic__BatchAccepted, single_version),
     NULL,
     NULL,
     0,             /* flags */
@@ -1782,227 +1857,80 @@
   },
   {
     "items",
-    19,
+    14,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Topic__BatchPart, n_items),
-    offsetof(Currant__Topic__BatchPart, items),
-    &currant__topic__batch_item__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Currant__Topic__BatchAccepted, n_items),
+    offsetof(Currant__Topic__BatchAccepted, items),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned currant__topic__batch_part__field_indices_by_name[] = {
-  6,   /* field[6] = accepted_ms */
-  0,   /* field[0] = batch */
-  3,   /* field[3] = count */
-  14,   /* field[14] = due_ms */
-  4,   /* field[4] = first_item */
-  8,   /* field[8] = host */
-  2,   /* field[2] = index */
-  18,   /* field[18] = items */
-  16,   /* field[16] = max_attempts */
-  12,   /* field[12] = min_version */
-  10,   /* field[10] = model */
-  9,   /* field[9] = path */
-  15,   /* field[15] = retention_ms */
-  17,   /* field[17] = single_version */
-  11,   /* field[11] = step */
-  13,   /* field[13] = target_groups */
-  7,   /* field[7] = team */
-  5,   /* field[5] = total_items */
-  1,   /* field[1] = writer */
-};
-static const ProtobufCIntRange currant__topic__batch_part__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 19 }
-};
-const ProtobufCMessageDescriptor currant__topic__batch_part__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.topic.BatchPart",
-  "BatchPart",
-  "Currant__Topic__BatchPart",
-  "currant.topic",
-  sizeof(Currant__Topic__BatchPart),
-  19,
-  currant__topic__batch_part__field_descriptors,
-  currant__topic__batch_part__field_indices_by_name,
-  1,  currant__topic__batch_part__number_ranges,
-  (ProtobufCMessageInit) currant__topic__batch_part__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor currant__topic__batch_item__field_descriptors[11] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "path",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, path),
-    NULL,
-    &protobuf_c_empty_string,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fields",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, fields),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "group",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, group),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "model",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, model),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "prompt_tokens",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, prompt_tokens),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "max_output_tokens",
-    8,
+    "items_offset",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, max_output_tokens),
+    offsetof(Currant__Topic__BatchAccepted, items_offset),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "length_hint",
-    9,
+    "items_records",
+    16,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__BatchItem, length_hint),
+    offsetof(Currant__Topic__BatchAccepted, items_records),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "part_ids",
-    10,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Currant__Topic__BatchItem, n_part_ids),
-    offsetof(Currant__Topic__BatchItem, part_ids),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "part_tokens",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Currant__Topic__BatchItem, n_part_tokens),
-    offsetof(Currant__Topic__BatchItem, part_tokens),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned currant__topic__batch_item__field_indices_by_name[] = {
-  3,   /* field[3] = body */
-  2,   /* field[2] = fields */
-  4,   /* field[4] = group */
-  0,   /* field[0] = id */
-  8,   /* field[8] = length_hint */
-  7,   /* field[7] = max_output_tokens */
+static const unsigned currant__topic__batch_accepted__field_indices_by_name[] = {
+  1,   /* field[1] = accepted_ms */
+  0,   /* field[0] = batch */
+  9,   /* field[9] = due_ms */
+  3,   /* field[3] = host */
+  13,   /* field[13] = items */
+  14,   /* field[14] = items_offset */
+  15,   /* field[15] = items_records */
+  11,   /* field[11] = max_attempts */
+  7,   /* field[7] = min_version */
   5,   /* field[5] = model */
-  9,   /* field[9] = part_ids */
-  10,   /* field[10] = part_tokens */
-  1,   /* field[1] = path */
-  6,   /* field[6] = prompt_tokens */
+  4,   /* field[4] = path */
+  10,   /* field[10] = retention_ms */
+  12,   /* field[12] = single_version */
+  6,   /* field[6] = step */
+  8,   /* field[8] = target_groups */
+  2,   /* field[2] = team */
 };
-static const ProtobufCIntRange currant__topic__batch_item__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__topic__batch_accepted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 16 }
 };
-const ProtobufCMessageDescriptor currant__topic__batch_item__descriptor =
+const ProtobufCMessageDescriptor currant__topic__batch_accepted__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.topic.BatchItem",
-  "BatchItem",
-  "Currant__Topic__BatchItem",
+  "currant.topic.BatchAccepted",
+  "BatchAccepted",
+  "Currant__Topic__BatchAccepted",
   "currant.topic",
-  sizeof(Currant__Topic__BatchItem),
-  11,
-  currant__topic__batch_item__field_descriptors,
-  currant__topic__batch_item__field_indices_by_name,
-  1,  currant__topic__batch_item__number_ranges,
-  (ProtobufCMessageInit) currant__topic__batch_item__init,
+  sizeof(Currant__Topic__BatchAccepted),
+  16,
+  currant__topic__batch_accepted__field_descriptors,
+  currant__topic__batch_accepted__field_indices_by_name,
+  1,  currant__topic__batch_accepted__number_ranges,
+  (ProtobufCMessageInit) currant__topic__batch_accepted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__item_result__field_descriptors[6] =
+static const ProtobufCFieldDescriptor currant__topic__item_result__field_descriptors[7] =
 {
   {
     "batch",
@@ -2040,21 +1968,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "text",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__ItemResult, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "versions",
-    5,
+    4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
     offsetof(Currant__Topic__ItemResult, n_versions),
@@ -2066,7 +1982,7 @@
   },
   {
     "reason",
-    6,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -2076,19 +1992,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "text_offset",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemResult, text_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text_bytes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemResult, text_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__item_result__field_indices_by_name[] = {
   0,   /* field[0] = batch */
   1,   /* field[1] = item */
-  5,   /* field[5] = reason */
+  4,   /* field[4] = reason */
   2,   /* field[2] = state */
-  3,   /* field[3] = text */
-  4,   /* field[4] = versions */
+  6,   /* field[6] = text_bytes */
+  5,   /* field[5] = text_offset */
+  3,   /* field[3] = versions */
 };
 static const ProtobufCIntRange currant__topic__item_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor currant__topic__item_result__descriptor =
 {
@@ -2098,7 +2039,7 @@
   "Currant__Topic__ItemResult",
   "currant.topic",
   sizeof(Currant__Topic__ItemResult),
-  6,
+  7,
   currant__topic__item_result__field_descriptors,
   currant__topic__item_result__field_indices_by_name,
   1,  currant__topic__item_result__number_ranges,
@@ -2245,21 +2186,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "text",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Currant__Topic__ItemProgress, text),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "versions",
-    5,
+    4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
     offsetof(Currant__Topic__ItemProgress, n_versions),
@@ -2271,7 +2200,7 @@
   },
   {
     "failed_runs",
-    6,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -2282,12 +2211,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rejected_runs",
+    "text_offset",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemProgress, text_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text_bytes",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__ItemProgress, rejected_runs),
+    offsetof(Currant__Topic__ItemProgress, text_bytes),
     NULL,
     NULL,
     0,             /* flags */
@@ -2296,12 +2237,12 @@
 };
 static const unsigned currant__topic__item_progress__field_indices_by_name[] = {
   0,   /* field[0] = batch */
-  5,   /* field[5] = failed_runs */
+  4,   /* field[4] = failed_runs */
   1,   /* field[1] = item */
   2,   /* field[2] = last_event */
-  6,   /* field[6] = rejected_runs */
-  3,   /* field[3] = text */
-  4,   /* field[4] = versions */
+  6,   /* field[6] = text_bytes */
+  5,   /* field[5] = text_offset */
+  3,   /* field[3] = versions */
 };
 static const ProtobufCIntRange currant__topic__item_progress__number_ranges[1 + 1] =
 {
@@ -2323,6 +2264,353 @@
   (ProtobufCMessageInit) currant__topic__item_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__topic__text_record__field_descriptors[2] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Topic__TextRecord, kind_case),
+    offsetof(Currant__Topic__TextRecord, items),
+    &currant__topic__batch_items__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Topic__TextRecord, kind_case),
+    offsetof(Currant__Topic__TextRecord, text),
+    &currant__topic__item_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__text_record__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+  1,   /* field[1] = text */
+};
+static const ProtobufCIntRange currant__topic__text_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__topic__text_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.TextRecord",
+  "TextRecord",
+  "Currant__Topic__TextRecord",
+  "currant.topic",
+  sizeof(Currant__Topic__TextRecord),
+  2,
+  currant__topic__text_record__field_descriptors,
+  currant__topic__text_record__field_indices_by_name,
+  1,  currant__topic__text_record__number_ranges,
+  (ProtobufCMessageInit) currant__topic__text_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__topic__batch_items__field_descriptors[3] =
+{
+  {
+    "batch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItems, batch),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_item",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItems, first_item),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Topic__BatchItems, n_items),
+    offsetof(Currant__Topic__BatchItems, items),
+    &currant__topic__batch_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__batch_items__field_indices_by_name[] = {
+  0,   /* field[0] = batch */
+  1,   /* field[1] = first_item */
+  2,   /* field[2] = items */
+};
+static const ProtobufCIntRange currant__topic__batch_items__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__topic__batch_items__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.BatchItems",
+  "BatchItems",
+  "Currant__Topic__BatchItems",
+  "currant.topic",
+  sizeof(Currant__Topic__BatchItems),
+  3,
+  currant__topic__batch_items__field_descriptors,
+  currant__topic__batch_items__field_indices_by_name,
+  1,  currant__topic__batch_items__number_ranges,
+  (ProtobufCMessageInit) currant__topic__batch_items__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__topic__batch_item__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fields",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, fields),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_tokens",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, prompt_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_output_tokens",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, max_output_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length_hint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, length_hint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_ids",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Currant__Topic__BatchItem, n_part_ids),
+    offsetof(Currant__Topic__BatchItem, part_ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_tokens",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Currant__Topic__BatchItem, n_part_tokens),
+    offsetof(Currant__Topic__BatchItem, part_tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__batch_item__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  2,   /* field[2] = fields */
+  4,   /* field[4] = group */
+  0,   /* field[0] = id */
+  8,   /* field[8] = length_hint */
+  7,   /* field[7] = max_output_tokens */
+  5,   /* field[5] = model */
+  9,   /* field[9] = part_ids */
+  10,   /* field[10] = part_tokens */
+  1,   /* field[1] = path */
+  6,   /* field[6] = prompt_tokens */
+};
+static const ProtobufCIntRange currant__topic__batch_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor currant__topic__batch_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.BatchItem",
+  "BatchItem",
+  "Currant__Topic__BatchItem",
+  "currant.topic",
+  sizeof(Currant__Topic__BatchItem),
+  11,
+  currant__topic__batch_item__field_descriptors,
+  currant__topic__batch_item__field_indices_by_name,
+  1,  currant__topic__batch_item__number_ranges,
+  (ProtobufCMessageInit) currant__topic__batch_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__topic__item_text__field_descriptors[3] =
+{
+  {
+    "batch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemText, batch),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "item",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemText, item),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemText, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__item_text__field_indices_by_name[] = {
+  0,   /* field[0] = batch */
+  1,   /* field[1] = item */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange currant__topic__item_text__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__topic__item_text__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.ItemText",
+  "ItemText",
+  "Currant__Topic__ItemText",
+  "currant.topic",
+  sizeof(Currant__Topic__ItemText),
+  3,
+  currant__topic__item_text__field_descriptors,
+  currant__topic__item_text__field_indices_by_name,
+  1,  currant__topic__item_text__number_ranges,
+  (ProtobufCMessageInit) currant__topic__item_text__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue currant__topic__item_state__enum_values_by_number[2] =
 {
   { "COMPLETE", "CURRANT__TOPIC__ITEM_STATE__COMPLETE", 0 },
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -25,12 +25,15 @@
 typedef struct Currant__Topic__UsageReported Currant__Topic__UsageReported;
 typedef struct Currant__Topic__UsageRecord Currant__Topic__UsageRecord;
 typedef struct Currant__Topic__BatchRecord Currant__Topic__BatchRecord;
-typedef struct Currant__Topic__BatchPart Currant__Topic__BatchPart;
-typedef struct Currant__Topic__BatchItem Currant__Topic__BatchItem;
+typedef struct Currant__Topic__BatchAccepted Currant__Topic__BatchAccepted;
 typedef struct Currant__Topic__ItemResult Currant__Topic__ItemResult;
 typedef struct Currant__Topic__BatchEnd Currant__Topic__BatchEnd;
 typedef struct Currant__Topic__PartitionClaim Currant__Topic__PartitionClaim;
 typedef struct Currant__Topic__ItemProgress Currant__Topic__ItemProgress;
+typedef struct Currant__Topic__TextRecord Currant__Topic__TextRecord;
+typedef struct Currant__Topic__BatchItems Currant__Topic__BatchItems;
+typedef struct Currant__Topic__BatchItem Currant__Topic__BatchItem;
+typedef struct Currant__Topic__ItemText Currant__Topic__ItemText;
 
 
 /* --- enums --- */
@@ -243,7 +246,7 @@
 
 typedef enum {
   CURRANT__TOPIC__BATCH_RECORD__KIND__NOT_SET = 0,
-  CURRANT__TOPIC__BATCH_RECORD__KIND_PART = 1,
+  CURRANT__TOPIC__BATCH_RECORD__KIND_ACCEPTED = 1,
   CURRANT__TOPIC__BATCH_RECORD__KIND_RESULT = 2,
   CURRANT__TOPIC__BATCH_RECORD__KIND_END = 3,
   CURRANT__TOPIC__BATCH_RECORD__KIND_CLAIM = 4,
@@ -253,14 +256,16 @@
 
 /*
  * Topic batch. All records of one batch stand in one partition, whose order
- * decides: the first batch of an id, the first result of an item.
+ * decides: the first batch of an id, the first result of an item. They are
+ * small; what is large stands in the partition of topic text with the same
+ * number, and is read only by who needs it.
  */
 struct  Currant__Topic__BatchRecord
 {
   ProtobufCMessage base;
   Currant__Topic__BatchRecord__KindCase kind_case;
   union {
-    Currant__Topic__BatchPart *part;
+    Currant__Topic__BatchAccepted *accepted;
     Currant__Topic__ItemResult *result;
     Currant__Topic__BatchEnd *end;
     Currant__Topic__PartitionClaim *claim;
@@ -272,24 +277,10 @@
     , CURRANT__TOPIC__BATCH_RECORD__KIND__NOT_SET, {0} }
 
 
-/*
- * A batch in one or more parts by one writer; accepted with the last one.
- */
-struct  Currant__Topic__BatchPart
+struct  Currant__Topic__BatchAccepted
 {
   ProtobufCMessage base;
   char *batch;
-  /*
-   * of all parts of one submission
-   */
-  uint64_t writer;
-  uint32_t index;
-  uint32_t count;
-  /*
-   * number of the first item of this part
-   */
-  uint32_t first_item;
-  uint32_t total_items;
   /*
    * wall clock of the writer
    */
@@ -317,40 +308,23 @@
   uint32_t retention_ms;
   uint32_t max_attempts;
   protobuf_c_boolean single_version;
+  /*
+   * their ids
+   */
   size_t n_items;
-  Currant__Topic__BatchItem **items;
-};
-#define CURRANT__TOPIC__BATCH_PART__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_part__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
-
-
-struct  Currant__Topic__BatchItem
-{
-  ProtobufCMessage base;
-  char *id;
-  char *path;
+  char **items;
   /*
-   * "Name: value\r\n" each, to be sent
+   * of the first BatchItems in topic text
    */
-  char *fields;
-  ProtobufCBinaryData body;
-  char *group;
-  char *model;
-  uint32_t prompt_tokens;
-  uint32_t max_output_tokens;
-  uint32_t length_hint;
+  uint64_t items_offset;
   /*
-   * of the prompt, in order
+   * how many follow on one another
    */
-  size_t n_part_ids;
-  uint64_t *part_ids;
-  size_t n_part_tokens;
-  uint32_t *part_tokens;
+  uint32_t items_records;
 };
-#define CURRANT__TOPIC__BATCH_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_item__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+#define CURRANT__TOPIC__BATCH_ACCEPTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_accepted__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Currant__Topic__ItemResult
@@ -362,17 +336,21 @@
    */
   uint32_t item;
   Currant__Topic__ItemState state;
-  ProtobufCBinaryData text;
   size_t n_versions;
   uint64_t *versions;
   /*
    * of what was given up
    */
   char *reason;
+  /*
+   * in topic text
+   */
+  uint64_t text_offset;
+  uint32_t text_bytes;
 };
 #define CURRANT__TOPIC__ITEM_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__item_result__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, CURRANT__TOPIC__ITEM_STATE__COMPLETE, {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, CURRANT__TOPIC__ITEM_STATE__COMPLETE, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Currant__Topic__BatchEnd
@@ -409,7 +387,6 @@
   char *batch;
   uint32_t item;
   int64_t last_event;
-  ProtobufCBinaryData text;
   size_t n_versions;
   uint64_t *versions;
   /*
@@ -417,13 +394,97 @@
    */
   uint32_t failed_runs;
   /*
-   * answers of 422
+   * in topic text
    */
-  uint32_t rejected_runs;
+  uint64_t text_offset;
+  uint32_t text_bytes;
 };
 #define CURRANT__TOPIC__ITEM_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__item_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0 }
+
+
+typedef enum {
+  CURRANT__TOPIC__TEXT_RECORD__KIND__NOT_SET = 0,
+  CURRANT__TOPIC__TEXT_RECORD__KIND_ITEMS = 1,
+  CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CURRANT__TOPIC__TEXT_RECORD__KIND__CASE)
+} Currant__Topic__TextRecord__KindCase;
+
+/*
+ * Topic text.
+ */
+struct  Currant__Topic__TextRecord
+{
+  ProtobufCMessage base;
+  Currant__Topic__TextRecord__KindCase kind_case;
+  union {
+    Currant__Topic__BatchItems *items;
+    Currant__Topic__ItemText *text;
+  };
+};
+#define CURRANT__TOPIC__TEXT_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__text_record__descriptor) \
+    , CURRANT__TOPIC__TEXT_RECORD__KIND__NOT_SET, {0} }
+
+
+struct  Currant__Topic__BatchItems
+{
+  ProtobufCMessage base;
+  char *batch;
+  /*
+   * number of the first one of this record
+   */
+  uint32_t first_item;
+  size_t n_items;
+  Currant__Topic__BatchItem **items;
+};
+#define CURRANT__TOPIC__BATCH_ITEMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_items__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+struct  Currant__Topic__BatchItem
+{
+  ProtobufCMessage base;
+  char *id;
+  char *path;
+  /*
+   * "Name: value\r\n" each, to be sent
+   */
+  char *fields;
+  ProtobufCBinaryData body;
+  char *group;
+  char *model;
+  uint32_t prompt_tokens;
+  uint32_t max_output_tokens;
+  uint32_t length_hint;
+  /*
+   * of the prompt, in order
+   */
+  size_t n_part_ids;
+  uint64_t *part_ids;
+  size_t n_part_tokens;
+  uint32_t *part_tokens;
+};
+#define CURRANT__TOPIC__BATCH_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_item__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * What a run has made of an item.
+ */
+struct  Currant__Topic__ItemText
+{
+  ProtobufCMessage base;
+  char *batch;
+  uint32_t item;
+  ProtobufCBinaryData text;
+};
+#define CURRANT__TOPIC__ITEM_TEXT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__item_text__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
 /* Currant__Topic__HostNotice methods */
@@ -616,43 +677,24 @@
 void   currant__topic__batch_record__free_unpacked
                      (Currant__Topic__BatchRecord *message,
                       ProtobufCAllocator *allocator);
-/* Currant__Topic__BatchPart methods */
-void   currant__topic__batch_part__init
-                     (Currant__Topic__BatchPart         *message);
-size_t currant__topic__batch_part__get_packed_size
-                     (const Currant__Topic__BatchPart   *message);
-size_t currant__topic__batch_part__pack
-                     (const Currant__Topic__BatchPart   *message,
-                      uint8_t             *out);
-size_t currant__topic__batch_part__pack_to_buffer
-                     (const Currant__Topic__BatchPart   *message,
-                      ProtobufCBuffer     *buffer);
-Currant__Topic__BatchPart *
-       currant__topic__batch_part__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   currant__topic__batch_part__free_unpacked
-                     (Currant__Topic__BatchPart *message,
-                      ProtobufCAllocator *allocator);
-/* Currant__Topic__BatchItem methods */
-void   currant__topic__batch_item__init
-                     (Currant__Topic__BatchItem         *message);
-size_t currant__topic__batch_item__get_packed_size
-                     (const Currant__Topic__BatchItem   *message);
-size_t currant__topic__batch_item__pack
-                     (const Currant__Topic__BatchItem   *message,
+/* Currant__Topic__BatchAccepted methods */
+void   currant__topic__batch_accepted__init
+                     (Currant__Topic__BatchAccepted         *message);
+size_t currant__topic__batch_accepted__get_packed_size
+                     (const Currant__Topic__BatchAccepted   *message);
+size_t currant__topic__batch_accepted__pack
+                     (const Currant__Topic__BatchAccepted   *message,
                       uint8_t             *out);
-size_t currant__topic__batch_item__pack_to_buffer
-                     (const Currant__Topic__BatchItem   *message,
+size_t currant__topic__batch_accepted__pack_to_buffer
+                     (const Currant__Topic__BatchAccepted   *message,
                       ProtobufCBuffer     *buffer);
-Currant__Topic__BatchItem *
-       currant__topic__batch_item__unpack
+Currant__Topic__BatchAccepted *
+       currant__topic__batch_accepted__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   currant__topic__batch_item__free_unpacked
-                     (Currant__Topic__BatchItem *message,
+void   currant__topic__batch_accepted__free_unpacked
+                     (Currant__Topic__BatchAccepted *message,
                       ProtobufCAllocator *allocator);
 /* Currant__Topic__ItemResult methods */
 void   currant__topic__item_result__init
@@ -730,6 +772,82 @@
 void   currant__topic__item_progress__free_unpacked
                      (Currant__Topic__ItemProgress *message,
                       ProtobufCAllocator *allocator);
+/* Currant__Topic__TextRecord methods */
+void   currant__topic__text_record__init
+                     (Currant__Topic__TextRecord         *message);
+size_t currant__topic__text_record__get_packed_size
+                     (const Currant__Topic__TextRecord   *message);
+size_t currant__topic__text_record__pack
+                     (const Currant__Topic__TextRecord   *message,
+                      uint8_t             *out);
+size_t currant__topic__text_record__pack_to_buffer
+                     (const Currant__Topic__TextRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__TextRecord *
+       currant__topic__text_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__text_record__free_unpacked
+                     (Currant__Topic__TextRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__Topic__BatchItems methods */
+void   currant__topic__batch_items__init
+                     (Currant__Topic__BatchItems         *message);
+size_t currant__topic__batch_items__get_packed_size
+                     (const Currant__Topic__BatchItems   *message);
+size_t currant__topic__batch_items__pack
+                     (const Currant__Topic__BatchItems   *message,
+                      uint8_t             *out);
+size_t currant__topic__batch_items__pack_to_buffer
+                     (const Currant__Topic__BatchItems   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__BatchItems *
+       currant__topic__batch_items__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__batch_items__free_unpacked
+                     (Currant__Topic__BatchItems *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__Topic__BatchItem methods */
+void   currant__topic__batch_item__init
+                     (Currant__Topic__BatchItem         *message);
+size_t currant__topic__batch_item__get_packed_size
+                     (const Currant__Topic__BatchItem   *message);
+size_t currant__topic__batch_item__pack
+                     (const Currant__Topic__BatchItem   *message,
+                      uint8_t             *out);
+size_t currant__topic__batch_item__pack_to_buffer
+                     (const Currant__Topic__BatchItem   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__BatchItem *
+       currant__topic__batch_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__batch_item__free_unpacked
+                     (Currant__Topic__BatchItem *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__Topic__ItemText methods */
+void   currant__topic__item_text__init
+                     (Currant__Topic__ItemText         *message);
+size_t currant__topic__item_text__get_packed_size
+                     (const Currant__Topic__ItemText   *message);
+size_t currant__topic__item_text__pack
+                     (const Currant__Topic__ItemText   *message,
+                      uint8_t             *out);
+size_t currant__topic__item_text__pack_to_buffer
+                     (const Currant__Topic__ItemText   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__ItemText *
+       currant__topic__item_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__item_text__free_unpacked
+                     (Currant__Topic__ItemText *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Currant__Topic__HostNotice_Closure)
@@ -762,11 +880,8 @@
 typedef void (*Currant__Topic__BatchRecord_Closure)
                  (const Currant__Topic__BatchRecord *message,
                   void *closure_data);
-typedef void (*Currant__Topic__BatchPart_Closure)
-                 (const Currant__Topic__BatchPart *message,
-                  void *closure_data);
-typedef void (*Currant__Topic__BatchItem_Closure)
-                 (const Currant__Topic__BatchItem *message,
+typedef void (*Currant__Topic__BatchAccepted_Closure)
+                 (const Currant__Topic__BatchAccepted *message,
                   void *closure_data);
 typedef void (*Currant__Topic__ItemResult_Closure)
                  (const Currant__Topic__ItemResult *message,
@@ -780,6 +895,18 @@
 typedef void (*Currant__Topic__ItemProgress_Closure)
                  (const Currant__Topic__ItemProgress *message,
                   void *closure_data);
+typedef void (*Currant__Topic__TextRecord_Closure)
+                 (const Currant__Topic__TextRecord *message,
+                  void *closure_data);
+typedef void (*Currant__Topic__BatchItems_Closure)
+                 (const Currant__Topic__BatchItems *message,
+                  void *closure_data);
+typedef void (*Currant__Topic__BatchItem_Closure)
+                 (const Currant__Topic__BatchItem *message,
+                  void *closure_data);
+typedef void (*Currant__Topic__ItemText_Closure)
+                 (const Currant__Topic__ItemText *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -797,12 +924,15 @@
 extern const ProtobufCMessageDescriptor currant__topic__usage_reported__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__usage_record__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__batch_record__descriptor;
-extern const ProtobufCMessageDescriptor currant__topic__batch_part__descriptor;
-extern const ProtobufCMessageDescriptor currant__topic__batch_item__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__batch_accepted__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__item_result__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__batch_end__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__partition_claim__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__item_progress__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__text_record__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__batch_items__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__batch_item__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__item_text__descriptor;
 
 PROTOBUF_C__END_DECLS
 
