batch: let a claim name the claim that it replaces

A claim has an effect only if the claim before it is the one that it names, so that of rivals the first in the log wins. A young claim shows that its host lives. Only the host that accepted a batch claims for it without asking the rank. Owners claim again each minute, so that the log does not forget them. Notices come twice a second on small systems, and a leaving host's partitions are looked at as soon as its notice is read. Texts that stand between those of other batches are read on until an answer has all.

--- a/batch/batch_api.c
+++ b/batch/batch_api.c
@@ -26,7 +26,7 @@
 void batch_api_init(struct batch_api *api, struct reactor *reactor,
 		    struct batch_set *set, struct topic_log *store,
 		    struct record_log *log, struct counter_set *counters,
-		    uint64_t seed)
+		    const char *host, uint64_t incarnation)
 {
 	memset(api, 0, sizeof(*api));
 	api->port.vt = &port_vtable;
@@ -34,7 +34,8 @@
 	api->set = set;
 	api->store = store;
 	api->log = log;
-	rng_init(&api->rng, seed);
+	api->host = host;
+	api->incarnation = incarnation;
 	api->accepted = counter_get(counters, "batches_accepted_total");
 	api->repeated = counter_get(counters, "batches_repeated_total");
 	api->refused = counter_get(counters, "batches_refused_total");
--- a/batch/batch_api.h
+++ b/batch/batch_api.h
@@ -3,7 +3,6 @@
 
 #include "base/histogram.h"
 #include "base/record_log.h"
-#include "base/rng.h"
 #include "batch/batch_partition.h"
 #include "entry/caller_port.h"
 #include "net/reactor.h"
@@ -30,7 +29,8 @@
 	struct topic_log *store;
 	struct batch_gate *gate; /* NULL: all are admitted */
 	struct record_log *log;
-	struct rng rng;
+	const char *host;
+	uint64_t incarnation;
 	struct batch_submission *submissions;
 	struct batch_call *calls;
 	struct counter *accepted;
@@ -44,7 +44,7 @@
 void batch_api_init(struct batch_api *api, struct reactor *reactor,
 		    struct batch_set *set, struct topic_log *store,
 		    struct record_log *log, struct counter_set *counters,
-		    uint64_t seed);
+		    const char *host, uint64_t incarnation);
 void batch_api_finish(struct batch_api *api);
 
 #endif
--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -5,20 +5,16 @@
 
 #include "base/alloc.h"
 #include "batch/items_load.h"
+#include "batch/results_load.h"
 #include "entry/answers.h"
 #include "platform/batch_codec.h"
 
-/* Results of one answer take at most this much. */
-#define ANSWER_MAX_BYTES (900 * 1024)
 /* When to come back after the store could not be read or written. */
 #define STORE_RETRY_NS (300 * NS_PER_MS)
 /* A read is held no longer than this, whatever the caller asks. */
 #define HOLD_MAX_NS (30 * NS_PER_S)
 /* How long a caller is kept waiting for the store. */
 #define PATIENCE_NS (3 * NS_PER_S)
-/* What a record of a text takes beside it, and texts of others between. */
-#define TEXT_OVERHEAD_BYTES 256
-#define TEXT_SLACK 1.25
 
 /* The refresh of one partition, for a call. */
 struct call_refresh {
@@ -43,9 +39,8 @@
 	/* A read that waits for news. */
 	struct batch_partition *watched;
 	struct batch_table_listener news;
-	/* Texts of results, read from the log. */
-	struct topic_read texts;
-	int reading_texts;
+	struct results_load results;
+	int loading_results;
 	/* What the batch was submitted with, for an item's body. */
 	struct items_load items;
 	int loading_items;
@@ -73,10 +68,8 @@
 			topic_follower_drop_refresh(
 				&call->refreshes[i].partition->follower,
 				&call->refreshes[i].base);
-	if (call->reading_texts)
-		call->api->store->vt->cancel(call->api->store,
-					     call->texts.call);
-	strbuf_finish(&call->texts.records);
+	if (call->loading_results)
+		results_load_finish(&call->results);
 	if (call->loading_items)
 		items_load_finish(&call->items);
 	*call->at = call->next;
@@ -158,28 +151,14 @@
 	return NULL;
 }
 
-/* Results that one answer may hold, from the wanted position on. */
-static uint32_t count_results(const struct batch *batch, uint32_t after,
-			      size_t *bytes)
+static void refuse_store(struct batch_call *call)
 {
-	uint32_t count = 0;
-
-	*bytes = 0;
-	while (after + count < batch->listed_count) {
-		const struct batch_item *item =
-			&batch->items[batch->listed[after + count]];
-		size_t more =
-			2 * (size_t)item->text_bytes + TEXT_OVERHEAD_BYTES;
-
-		if (count && *bytes + more > ANSWER_MAX_BYTES)
-			break;
-		*bytes += more;
-		count++;
-	}
-	return count;
+	refuse(call, 503, "store_unavailable", "the store could not be read",
+	       STORE_RETRY_NS);
 }
 
 static void fill_view(const struct batch *batch, uint32_t position,
+		      const struct wanted_text *text,
 		      struct batch_result_view *view)
 {
 	const struct batch_item *item = &batch->items[batch->listed[position]];
@@ -191,78 +170,43 @@
 	view->text = "";
 	view->versions = set->versions;
 	view->version_count = set->count;
-}
-
-/* The texts that came with one read, by the positions that they belong to. */
-struct found_texts {
-	const struct batch *batch;
-	uint32_t after;
-	uint32_t count;
-	struct batch_result_view *views;
-	Currant__Topic__TextRecord **records; /* by view; NULL: not found */
-};
-
-static void take_text(struct found_texts *found, uint64_t offset,
-		      const uint8_t *data, size_t len)
-{
-	Currant__Topic__TextRecord *record =
-		currant__topic__text_record__unpack(NULL, len, data);
-	const struct batch *batch = found->batch;
-	const struct batch_item *item;
-	uint32_t index;
-
-	if (!record)
+	if (!text->record ||
+	    text->record->kind_case != CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT)
 		return;
-	if (record->kind_case == CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT &&
-	    record->text->item < batch->item_count) {
-		item = &batch->items[record->text->item];
-		index = item->position - found->after;
-		if (item->state != BATCH_ITEM_OPEN &&
-		    item->text_offset == offset && index < found->count &&
-		    !found->records[index]) {
-			found->records[index] = record;
-			found->views[index].text =
-				(const char *)record->text->text.data;
-			found->views[index].text_len = record->text->text.len;
-			return;
-		}
-	}
-	currant__topic__text_record__free_unpacked(record, NULL);
+	view->text = (const char *)text->record->text->text.data;
+	view->text_len = text->record->text->text.len;
 }
 
-static void find_texts(struct batch_call *call, struct found_texts *found)
+/* Writes the results that are ready; -1 if one cannot be written. */
+static int write_results(const struct batch_call *call,
+			 const struct batch *batch, uint32_t count,
+			 struct strbuf *body)
 {
-	uint64_t offset = call->texts.from;
-	const uint8_t *data;
-	size_t len;
-	size_t at = 0;
-
-	for (uint32_t i = 0; i < found->count; i++)
-		fill_view(found->batch, found->after + i, &found->views[i]);
-	while (topic_next_record(&call->texts.records, &at, &data, &len))
-		take_text(found, offset++, data, len);
-	/* Positions are told without a gap; those without a text need none. */
-	for (uint32_t i = 0; i < found->count; i++) {
-		const struct batch_item *item =
-			&found->batch->items[found->batch->listed[found->after +
-								  i]];
+	struct batch_result_view *views = xcalloc(count + 1, sizeof(*views));
+	uint32_t after = call->what.after;
+	int result;
 
-		if (found->records[i] || !item->text_bytes)
-			continue;
-		found->count = i;
-	}
+	for (uint32_t i = 0; i < count; i++)
+		fill_view(batch, after + i, &call->results.wanted[i],
+			  &views[i]);
+	result = platform_batch_write_results(body, batch->item_count, after,
+					      views, count);
+	free(views);
+	return result;
 }
 
-static void answer_results(struct batch_call *call, const struct batch *batch,
-			   const struct batch_result_view *views,
-			   uint32_t count)
+static void answer_results(struct batch_call *call, const struct batch *batch)
 {
 	struct net_request *request = call->request;
+	uint32_t count = results_load_ready(&call->results);
 	struct strbuf body;
 
+	if (!count && call->results.count) {
+		refuse_store(call);
+		return;
+	}
 	strbuf_init(&body);
-	if (platform_batch_write_results(&body, batch->item_count,
-					 call->what.after, views, count)) {
+	if (write_results(call, batch, count, &body)) {
 		refuse(call, 500, "internal", "a result cannot be written", -1);
 	} else {
 		report(call, 200, NULL, count);
@@ -272,77 +216,16 @@
 	strbuf_finish(&body);
 }
 
-static void refuse_store(struct batch_call *call)
-{
-	refuse(call, 503, "store_unavailable", "the store could not be read",
-	       STORE_RETRY_NS);
-}
-
-/* Frees what was found. */
-static void answer_found(struct batch_call *call, struct found_texts *found)
+static void on_results(struct results_load *load)
 {
-	size_t bytes;
-	uint32_t wanted = count_results(found->batch, found->after, &bytes);
-
-	if (found->count || !wanted)
-		answer_results(call, found->batch, found->views, found->count);
-	else
-		refuse_store(call);
-	for (uint32_t i = 0; i < wanted; i++)
-		if (found->records[i])
-			currant__topic__text_record__free_unpacked(
-				found->records[i], NULL);
-	free(found->records);
-	free(found->views);
-}
-
-static void on_texts(struct topic_read *read)
-{
-	struct batch_call *call = read->arg;
+	struct batch_call *call = load->arg;
 	struct batch_partition *in;
-	struct found_texts found = { .after = call->what.after };
-	size_t bytes;
-
-	call->reading_texts = 0;
-	found.batch = find_own(call, &in);
-	if (read->outcome != TOPIC_OK || !found.batch) {
-		refuse_store(call);
-		return;
-	}
-	found.count = count_results(found.batch, found.after, &bytes);
-	found.views = xcalloc(found.count + 1, sizeof(*found.views));
-	found.records = xcalloc(found.count + 1, sizeof(void *));
-	find_texts(call, &found);
-	answer_found(call, &found);
-}
-
-/* Where the first text of these results stands; 0 if none has one. */
-static int first_text(const struct batch *batch, uint32_t after, uint32_t count,
-		      uint64_t *from)
-{
-	for (uint32_t i = 0; i < count; i++) {
-		const struct batch_item *item =
-			&batch->items[batch->listed[after + i]];
-
-		if (!item->text_bytes)
-			continue;
-		*from = item->text_offset;
-		return 1;
-	}
-	return 0;
-}
-
-/* No result, or only such as were given up before they had a text. */
-static void answer_textless(struct batch_call *call, const struct batch *batch)
-{
-	size_t bytes;
-	uint32_t count = count_results(batch, call->what.after, &bytes);
-	struct batch_result_view *views = xcalloc(count + 1, sizeof(*views));
+	const struct batch *batch = find_own(call, &in);
 
-	for (uint32_t i = 0; i < count; i++)
-		fill_view(batch, call->what.after + i, &views[i]);
-	answer_results(call, batch, views, count);
-	free(views);
+	if (batch)
+		answer_results(call, batch);
+	else
+		refuse_unknown_batch(call);
 }
 
 /* Answers with what there is from the wanted position on. */
@@ -350,25 +233,16 @@
 {
 	struct batch_partition *in;
 	struct batch *batch = find_own(call, &in);
-	uint64_t from;
-	size_t bytes;
 
 	if (!batch) {
 		refuse_unknown_batch(call);
 		return;
 	}
-	if (!first_text(batch, call->what.after,
-			count_results(batch, call->what.after, &bytes),
-			&from)) {
-		answer_textless(call, batch);
-		return;
-	}
-	batch_text_read_init(in, &call->texts, from,
-			     (uint32_t)((double)bytes / 2 * TEXT_SLACK));
-	call->texts.done = on_texts;
-	call->texts.arg = call;
-	call->reading_texts = 1;
-	call->api->store->vt->read(call->api->store, &call->texts);
+	call->loading_results = 1;
+	results_load_start(&call->results, call->api->store, in, batch,
+			   call->what.after, on_results, call);
+	if (!results_load_is_running(&call->results))
+		answer_results(call, batch);
 }
 
 static struct batch_call *watcher_of(struct batch_table_listener *listener)
@@ -634,7 +508,6 @@
 	call->what = *what;
 	call->team = xstrdup(team ? team->name : "");
 	call->hold_until_ns = request->whole_ns + hold_ns;
-	strbuf_init(&call->texts.records);
 	call->next = api->calls;
 	call->at = &api->calls;
 	if (call->next)
--- a/batch/batch_record.c
+++ b/batch/batch_record.c
@@ -172,6 +172,8 @@
 	accepted->single_version = acceptance->single_version;
 	accepted->items_offset = acceptance->items_offset;
 	accepted->items_records = acceptance->items_records;
+	accepted->by_host = (char *)acceptance->by_host;
+	accepted->by_incarnation = acceptance->by_incarnation;
 }
 
 int batch_record_add_accepted(struct strbuf *out,
--- a/batch/batch_record.h
+++ b/batch/batch_record.h
@@ -20,6 +20,8 @@
 	int single_version;
 	uint64_t items_offset; /* in topic text */
 	uint32_t items_records;
+	const char *by_host; /* that takes it */
+	uint64_t by_incarnation;
 };
 
 /*
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -270,6 +270,8 @@
 	acceptance->retention_ms = route->retention_ms;
 	acceptance->max_attempts = route->max_attempts;
 	acceptance->single_version = route->single_version;
+	acceptance->by_host = submission->api->host;
+	acceptance->by_incarnation = submission->api->incarnation;
 }
 
 /* Takes the draft. */
--- a/batch/batch_table.c
+++ b/batch/batch_table.c
@@ -136,20 +136,19 @@
 	batch_drop_progress(batch);
 }
 
+/* Of rivals that saw the same claim, the first one in the log wins. */
 static void apply_claim(struct batch_table *table,
 			const Currant__Topic__PartitionClaim *claim,
 			uint64_t offset)
 {
-	int is_owners = !strcmp(table->owner, claim->host) &&
-			table->owner_incarnation == claim->incarnation;
-
-	if (claim->release && !is_owners)
+	if (claim->replaces != table->claim)
 		return;
 	if (copy_text(table->owner, sizeof(table->owner),
 		      claim->release ? "" : claim->host))
 		table->malformed++;
 	table->owner_incarnation = claim->incarnation;
-	table->claim_offset = offset;
+	table->claim = offset + 1;
+	table->claimed_ms = claim->claimed_ms;
 	for (struct batch_table_listener *l = table->listeners; l; l = l->next)
 		if (l->claimed)
 			l->claimed(l);
--- a/batch/batch_table.h
+++ b/batch/batch_table.h
@@ -40,7 +40,8 @@
 	/* Who runs the items; "": nobody. */
 	char owner[BATCH_HOST_BYTES];
 	uint64_t owner_incarnation;
-	uint64_t claim_offset;
+	uint64_t claim; /* offset of the newest claim, and one; 0: none */
+	int64_t claimed_ms; /* wall clock of who wrote it */
 	uint64_t malformed; /* records that could not be read */
 };
 
--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -9,6 +9,13 @@
 #define CHECK_PERIOD_NS (500 * NS_PER_MS)
 /* How often a partition without an owner is read for open batches. */
 #define READ_PERIOD_NS (1 * NS_PER_S)
+/*
+ * A claim that is younger than this shows that its host lives, whatever the
+ * notices say that this daemon has read so far.
+ */
+#define CLAIM_SHOWS_LIFE_MS 2500
+/* An owner claims again, so that the log never forgets whose it is. */
+#define RENEW_MS 60000
 #define CANDIDATES_MAX 512
 
 static const struct entry_host *own_host(const struct partition_keeper *keeper)
@@ -38,6 +45,22 @@
 	       table->owner_incarnation == own->incarnation;
 }
 
+static int64_t claim_age_ms(const struct batch_table *table)
+{
+	return wall_now_ms() - table->claimed_ms;
+}
+
+static int owns(const struct entry_host *host,
+		const struct kept_partition *kept)
+{
+	const struct batch_table *table = &kept->partition->table;
+
+	return (!strcmp(host->name, table->owner) &&
+		host->incarnation == table->owner_incarnation) ||
+	       (kept->partition->number < HOST_PARTITIONS_MAX &&
+		host->partitions >> kept->partition->number & 1);
+}
+
 /* By the log as far as it was read, or by the notices of hosts. */
 static int owner_is_alive(const struct kept_partition *kept)
 {
@@ -45,18 +68,14 @@
 	const struct batch_table *table = &kept->partition->table;
 	int64_t now = now_ns(keeper);
 
+	if (table->owner[0] && strcmp(table->owner, own_host(keeper)->name) &&
+	    claim_age_ms(table) < CLAIM_SHOWS_LIFE_MS)
+		return 1;
 	for (const struct entry_host *h = keeper->discovery->hosts.first; h;
-	     h = h->next) {
-		if (!strcmp(h->name, own_host(keeper)->name) || h->leaving ||
-		    !entry_host_is_alive(h, now))
-			continue;
-		if (!strcmp(h->name, table->owner) &&
-		    h->incarnation == table->owner_incarnation)
-			return 1;
-		if (kept->partition->number < HOST_PARTITIONS_MAX &&
-		    h->partitions >> kept->partition->number & 1)
+	     h = h->next)
+		if (strcmp(h->name, own_host(keeper)->name) && !h->leaving &&
+		    entry_host_is_alive(h, now) && owns(h, kept))
 			return 1;
-	}
 	return 0;
 }
 
@@ -120,7 +139,9 @@
 	record_begin(&record, kept->keeper->log, "partitions", event);
 	record_int(&record, "partition", kept->partition->number);
 	record_text(&record, "owner", table->owner);
-	record_int(&record, "claim", (int64_t)table->claim_offset);
+	record_int(&record, "claim", (int64_t)table->claim);
+	record_int(&record, "claim_age_ms",
+		   table->claim ? claim_age_ms(table) : -1);
 	record_int(&record, "next", (int64_t)kept->partition->follower.next);
 	record_text(&record, "reason", reason);
 	record_end(&record);
@@ -166,6 +187,8 @@
 	claim.host = (char *)own->name;
 	claim.incarnation = own->incarnation;
 	claim.release = release;
+	claim.replaces = kept->partition->table.claim;
+	claim.claimed_ms = wall_now_ms();
 	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_CLAIM;
 	record.claim = &claim;
 	kept->claim =
@@ -215,6 +238,13 @@
 	topic_follower_refresh(&kept->partition->follower, &kept->refresh);
 }
 
+static void renew_if_due(struct kept_partition *kept)
+{
+	if (batch_runner_has(kept->keeper->runner, kept->partition) &&
+	    claim_age_ms(&kept->partition->table) > RENEW_MS)
+		write_claim(kept, 0);
+}
+
 static void on_timer(void *arg, int64_t at_ns)
 {
 	struct partition_keeper *keeper = arg;
@@ -222,8 +252,10 @@
 	(void)at_ns;
 	if (keeper->leaving)
 		return;
-	for (uint32_t i = 0; i < keeper->set->count; i++)
+	for (uint32_t i = 0; i < keeper->set->count; i++) {
+		renew_if_due(&keeper->kept[i]);
 		check(&keeper->kept[i]);
+	}
 }
 
 static void on_soon(void *arg, int64_t at_ns)
@@ -233,8 +265,12 @@
 	(void)at_ns;
 	keeper->soon_pending = 0;
 	for (uint32_t i = 0; i < keeper->set->count; i++) {
-		follow_claim(&keeper->kept[i]);
-		decide(&keeper->kept[i], 1);
+		struct kept_partition *kept = &keeper->kept[i];
+
+		follow_claim(kept);
+		if (kept->has_new_batch)
+			decide(kept, 1);
+		kept->has_new_batch = 0;
 	}
 }
 
@@ -248,11 +284,26 @@
 			     on_soon, keeper);
 }
 
+/* Whether this very process took the submission. */
+static int is_own_batch(const struct partition_keeper *keeper,
+			const struct batch *batch)
+{
+	const Currant__Topic__BatchAccepted *accepted =
+		batch->message->accepted;
+
+	return accepted->by_incarnation == own_host(keeper)->incarnation &&
+	       !strcmp(accepted->by_host, own_host(keeper)->name);
+}
+
 static void on_accepted(struct batch_table_listener *listener,
 			struct batch *batch)
 {
-	(void)batch;
-	look_soon(((struct kept_partition *)listener)->keeper);
+	struct kept_partition *kept = (struct kept_partition *)listener;
+
+	if (!is_own_batch(kept->keeper, batch))
+		return;
+	kept->has_new_batch = 1;
+	look_soon(kept->keeper);
 }
 
 static void on_claimed(struct batch_table_listener *listener)
@@ -260,6 +311,11 @@
 	look_soon(((struct kept_partition *)listener)->keeper);
 }
 
+void partition_keeper_hosts_changed(struct partition_keeper *keeper)
+{
+	on_timer(keeper, 0);
+}
+
 void partition_keeper_init(struct partition_keeper *keeper,
 			   struct reactor *reactor, struct batch_set *set,
 			   struct batch_runner *runner,
--- a/batch/partition_keeper.h
+++ b/batch/partition_keeper.h
@@ -17,6 +17,7 @@
 	struct batch_partition *partition;
 	struct topic_refresh refresh;
 	int refreshing;
+	int has_new_batch; /* that this process has just accepted */
 	struct batch_write *claim; /* that is being stored */
 	int64_t checked_ns; /* when it was last read for want of an owner */
 };
@@ -40,6 +41,9 @@
 			   struct discovery *discovery, struct record_log *log);
 void partition_keeper_finish(struct partition_keeper *keeper);
 
+/* A host leaves or came: looks whether its partitions are to be taken. */
+void partition_keeper_hosts_changed(struct partition_keeper *keeper);
+
 /* Gives up all partitions, with what their runs have made so far. */
 void partition_keeper_leave(struct partition_keeper *keeper);
 
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -9,11 +9,17 @@
 #include "proto/topic.pb-c.h"
 
 #define HOST_TOPIC "keyed.hosts"
-#define NOTICE_PERIOD_NS (1 * NS_PER_S)
+/*
+ * Notices come this often, and less often the more hosts there are, so that
+ * all together take no more than a tenth of what a store of today bears.
+ */
+#define NOTICE_PERIOD_MIN_NS (500 * NS_PER_MS)
+#define NOTICE_PERIOD_PER_HOST_NS (8 * NS_PER_MS)
 #define WATCH_NS (1500 * NS_PER_MS)
 #define TIMEOUT_NS (600 * NS_PER_MS)
-/* All hosts write within a period; the pause bounds each one's reads. */
-#define PAUSE_NS (400 * NS_PER_MS)
+/* Likewise the pause between two reads of each host. */
+#define PAUSE_MIN_NS (150 * NS_PER_MS)
+#define PAUSE_PER_HOST_NS (5 * NS_PER_MS)
 
 static struct discovery *discovery_of(struct keyed_follower *follower)
 {
@@ -89,6 +95,8 @@
 		host_table_put(&discovery->hosts, &host, now_ns(discovery));
 		if (is_news)
 			report(discovery, "notice", &host);
+		if (is_news && discovery->listener)
+			discovery->listener->changed(discovery->listener);
 	}
 	currant__topic__host_notice__free_unpacked(notice, NULL);
 }
@@ -170,13 +178,28 @@
 	topic_writer_add(&discovery->writer, write);
 }
 
+static int64_t at_least(int64_t min_ns, int64_t per_host_ns, uint32_t hosts)
+{
+	int64_t for_all_ns = per_host_ns * hosts;
+
+	return for_all_ns > min_ns ? for_all_ns : min_ns;
+}
+
 static void on_timer(void *arg, int64_t at_ns)
 {
 	struct discovery *discovery = arg;
+	uint32_t hosts = discovery->hosts.count;
+	int64_t period_ns = at_least(NOTICE_PERIOD_MIN_NS,
+				     NOTICE_PERIOD_PER_HOST_NS, hosts);
 
 	host_table_sweep(&discovery->hosts, at_ns);
+	discovery->own.period_ms = (uint32_t)(period_ns / NS_PER_MS);
+	discovery->follower.pause_ns =
+		at_least(PAUSE_MIN_NS, PAUSE_PER_HOST_NS, hosts);
 	if (!discovery->pending)
 		write_notice(discovery);
+	timer_subscribe_once(discovery->follower.timers, &discovery->timer,
+			     period_ns, on_timer, discovery);
 }
 
 void discovery_init(struct discovery *discovery, struct topic_log *log,
@@ -185,7 +208,7 @@
 {
 	struct keyed_follower_settings settings = {
 		.topic = HOST_TOPIC,
-		.pause_ns = PAUSE_NS,
+		.pause_ns = PAUSE_MIN_NS,
 		.watch_ns = WATCH_NS,
 		.timeout_ns = TIMEOUT_NS,
 	};
@@ -196,7 +219,7 @@
 			    &settings, counters);
 	host_table_init(&discovery->hosts);
 	discovery->own = *own;
-	discovery->own.period_ms = NOTICE_PERIOD_NS / NS_PER_MS;
+	discovery->own.period_ms = NOTICE_PERIOD_MIN_NS / NS_PER_MS;
 	discovery->log = records;
 	snprintf(writer, sizeof(writer), "%.40s-%016" PRIx64, own->name,
 		 own->incarnation);
@@ -218,9 +241,7 @@
 void discovery_start(struct discovery *discovery)
 {
 	keyed_follower_start(&discovery->follower);
-	write_notice(discovery);
-	timer_subscribe(discovery->follower.timers, &discovery->timer,
-			NOTICE_PERIOD_NS, on_timer, discovery);
+	on_timer(discovery, clock_now_ns(discovery->follower.clock));
 }
 
 void discovery_set_ready(struct discovery *discovery, int ready)
--- a/discovery/discovery.h
+++ b/discovery/discovery.h
@@ -11,6 +11,11 @@
  * topic of the platform's store, again and again, and reads those of the
  * others. No daemon connects to another.
  */
+struct discovery_listener {
+	/* A host came, leaves, or gave partitions up. */
+	void (*changed)(struct discovery_listener *listener);
+};
+
 struct discovery {
 	struct keyed_follower follower;
 	struct host_table hosts;
@@ -19,6 +24,7 @@
 	struct entry_host own;
 	struct timer timer;
 	struct record_log *log;
+	struct discovery_listener *listener; /* may be NULL */
 	int stale; /* the own state changed while one was written */
 };
 
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -312,7 +312,7 @@
 		       &daemon->reactor.timers, writer, &daemon->counters);
 	batch_api_init(&daemon->batch_api, &daemon->reactor, &daemon->batches,
 		       &daemon->store.base, &daemon->log, &daemon->counters,
-		       daemon->incarnation + 2);
+		       daemon->settings.name, daemon->incarnation);
 	batch_runner_init(&daemon->batch_runner, &daemon->reactor,
 			  &daemon->server_pool, &daemon->fleet, &daemon->config,
 			  &daemon->store.base, &daemon->log, &daemon->counters,
@@ -403,6 +403,16 @@
 			  settings->name, &daemon->log, &daemon->counters);
 }
 
+static void on_hosts_changed(struct discovery_listener *listener)
+{
+	struct entry_daemon *daemon =
+		(struct entry_daemon *)((char *)listener -
+					offsetof(struct entry_daemon,
+						 host_listener));
+
+	partition_keeper_hosts_changed(&daemon->partition_keeper);
+}
+
 static void init_callers(struct entry_daemon *daemon)
 {
 	const struct entry_settings *settings = &daemon->settings;
@@ -501,6 +511,8 @@
 	init_feeds(daemon);
 	init_batches(daemon);
 	init_duties(daemon);
+	daemon->host_listener.changed = on_hosts_changed;
+	daemon->discovery.listener = &daemon->host_listener;
 	init_callers(daemon);
 	daemon->forwarder.runs = &daemon->usage_counter.base;
 	if (init_ports(daemon, err) || init_signals(daemon, err))
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -38,6 +38,7 @@
 	struct operator_feed_listener version_listener;
 	struct server_feed server_feed;
 	struct discovery discovery;
+	struct discovery_listener host_listener;
 	struct forwarder forwarder;
 	struct batch_set batches;
 	struct batch_api batch_api;
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -1697,7 +1697,7 @@
   (ProtobufCMessageInit) currant__topic__batch_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__batch_accepted__field_descriptors[16] =
+static const ProtobufCFieldDescriptor currant__topic__batch_accepted__field_descriptors[18] =
 {
   {
     "batch",
@@ -1891,10 +1891,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "by_host",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchAccepted, by_host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "by_incarnation",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchAccepted, by_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__batch_accepted__field_indices_by_name[] = {
   1,   /* field[1] = accepted_ms */
   0,   /* field[0] = batch */
+  16,   /* field[16] = by_host */
+  17,   /* field[17] = by_incarnation */
   9,   /* field[9] = due_ms */
   3,   /* field[3] = host */
   13,   /* field[13] = items */
@@ -1913,7 +1939,7 @@
 static const ProtobufCIntRange currant__topic__batch_accepted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor currant__topic__batch_accepted__descriptor =
 {
@@ -1923,7 +1949,7 @@
   "Currant__Topic__BatchAccepted",
   "currant.topic",
   sizeof(Currant__Topic__BatchAccepted),
-  16,
+  18,
   currant__topic__batch_accepted__field_descriptors,
   currant__topic__batch_accepted__field_indices_by_name,
   1,  currant__topic__batch_accepted__number_ranges,
@@ -2084,7 +2110,7 @@
   (ProtobufCMessageInit) currant__topic__batch_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__partition_claim__field_descriptors[3] =
+static const ProtobufCFieldDescriptor currant__topic__partition_claim__field_descriptors[5] =
 {
   {
     "host",
@@ -2122,16 +2148,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replaces",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__PartitionClaim, replaces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claimed_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__PartitionClaim, claimed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__partition_claim__field_indices_by_name[] = {
+  4,   /* field[4] = claimed_ms */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = release */
+  3,   /* field[3] = replaces */
 };
 static const ProtobufCIntRange currant__topic__partition_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor currant__topic__partition_claim__descriptor =
 {
@@ -2141,7 +2193,7 @@
   "Currant__Topic__PartitionClaim",
   "currant.topic",
   sizeof(Currant__Topic__PartitionClaim),
-  3,
+  5,
   currant__topic__partition_claim__field_descriptors,
   currant__topic__partition_claim__field_indices_by_name,
   1,  currant__topic__partition_claim__number_ranges,
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -321,10 +321,15 @@
    * how many follow on one another
    */
   uint32_t items_records;
+  /*
+   * that took the submission
+   */
+  char *by_host;
+  uint64_t by_incarnation;
 };
 #define CURRANT__TOPIC__BATCH_ACCEPTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_accepted__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Currant__Topic__ItemResult
@@ -365,6 +370,7 @@
 
 /*
  * This host runs the partition's items from here on; with `release` it stops.
+ * It has no effect unless the claim before it is the one that it names.
  */
 struct  Currant__Topic__PartitionClaim
 {
@@ -372,10 +378,18 @@
   char *host;
   uint64_t incarnation;
   protobuf_c_boolean release;
+  /*
+   * offset of that claim, and one; 0: none
+   */
+  uint64_t replaces;
+  /*
+   * wall clock of the writer
+   */
+  int64_t claimed_ms;
 };
 #define CURRANT__TOPIC__PARTITION_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__partition_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
