t: prove the batch table and forwarding

The runner's table and the forwarder had no tests of their own.

An engine that answered a group of rollouts with a gap in the numbers of its events was believed; item_run now takes a line only when its number is the next one, beginning with 0 or 1, and runs the rest elsewhere.

--- a/batch/item_run.c
+++ b/batch/item_run.c
@@ -115,7 +115,9 @@
 		return 0; /* a comment */
 	if (event->id <= made->last_event)
 		return 0;
-	if (event->id != made->last_event + 1 && made->last_event >= 0)
+	/* Events are numbered without a gap; the first one is 1 or 0. */
+	if (event->id != made->last_event + 1 &&
+	    (made->last_event >= 0 || event->id != 1))
 		return -1;
 	take_version(run, event->weight_version);
 	run->unfit = !version_fits(run);
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -29,7 +29,9 @@
 {
 	uint32_t per_event = service ? service->tokens_per_event : 1;
 
-	return (double)(item->made.last_event + 1) * per_event;
+	if (item->made.last_event < 0)
+		return 0;
+	return (double)item->made.last_event * per_event;
 }
 
 static const struct entry_service *service_of(const struct batch_runner *runner,
--- a/batch/runner_progress.c
+++ b/batch/runner_progress.c
@@ -82,7 +82,7 @@
 {
 	struct owned_partition *owned = batch->owned;
 	struct topic_log *store = owned->runner->store;
-	uint64_t from;
+	uint64_t from = 0;
 
 	if (!first_text(batch->batch, &from))
 		return 0;
--- /dev/null
+++ b/t/lib-fake-engine.h
@@ -0,0 +1,99 @@
+#ifndef T_LIB_FAKE_ENGINE_H
+#define T_LIB_FAKE_ENGINE_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lib-reactor.h"
+
+extern "C" {
+#include "fleet/fleet.h"
+}
+
+// One request that reached a fake server.
+struct ServerSaw {
+	std::string method, target, id, team, body, last_event, instance, key;
+	std::string deadline, version;
+};
+
+// What a fake server does with a request.
+struct ServerReply {
+	int status = 200;
+	bool not_run = false;
+	bool other_instance = false; // another server has the address now
+	bool no_receipt = false;
+	std::string wrong_id; // the answer names another request
+	std::string body = "ok"; // of a plain answer
+	bool before = false; // an answer to another request comes first
+	int delay_ms = 0;
+	bool hang = false; // no answer
+	bool cut = false; // the connection ends without an answer
+	bool garbled = false; // bytes that are no answer
+
+	// A stream of events, numbered from 1.
+	bool stream = false;
+	int events = 3;
+	int interval_ms = 1;
+	int cut_after = -1; // events; then the connection ends
+	int torn_after = -1; // likewise, in the middle of the next event
+	int silent_after = -1; // events; then nothing comes
+	int skip = -1; // an event that is left out
+	uint64_t version = 1;
+	int new_version_at = -1; // event from which on it is version + 1
+};
+
+// A backend server that speaks the platform's form, on a test's reactor.
+class FakeServer
+{
+      public:
+	using Behaviour = std::function<ServerReply(const ServerSaw &)>;
+
+	FakeServer(TestReactor *loop, const std::string &id,
+		   const Behaviour &behaviour);
+	~FakeServer();
+
+	std::string address() const;
+	const std::string &id() const
+	{
+		return id_;
+	}
+
+	// Puts the server's entry into a fleet.
+	void join(struct fleet *fleet, const std::string &service,
+		  const std::string &model = "", uint64_t version = 1,
+		  bool leaving = false, uint32_t slots = 4);
+
+	Behaviour behaviour;
+	std::vector<ServerSaw> seen;
+	int running = 0;
+	int abandoned = 0; // the caller left
+	int most_running = 0;
+
+      private:
+	struct Run;
+	struct Handler;
+
+	static void on_request(struct net_handler *handler,
+			       struct net_request *request);
+	static void on_gone(struct net_request_owner *owner);
+	static void on_timer(void *arg, int64_t now_ns);
+	void start(struct net_request *request);
+	void answer(Run *run);
+	void next_event(Run *run);
+	void end(Run *run);
+
+	TestReactor *loop_;
+	std::string id_;
+	struct HandlerBase {
+		struct net_handler base;
+		FakeServer *self;
+	} handler_;
+	struct net_server server_;
+	std::vector<Run *> runs_;
+	uint64_t offset_ = 0;
+};
+
+#endif
--- a/t/lib-fake-topics.cc
+++ b/t/lib-fake-topics.cc
@@ -120,7 +120,7 @@
 	return &table;
 }
 
-FakeTopics::FakeTopics(FakeTime *time) : time_(time)
+FakeTopics::FakeTopics(struct timer_service *timers) : timers_(timers)
 {
 	struct topic_log_vtable *table =
 		const_cast<struct topic_log_vtable *>(vtable());
@@ -207,8 +207,7 @@
 	if (call->fault != Fault::NONE && call->fault != Fault::REFUSED)
 		delay_ns = timeout_ns(call->append, call->read, call->newest);
 	calls_.push_back(call);
-	timer_subscribe_once(&time_->timers, &call->timer, delay_ns, on_timer,
-			     call);
+	timer_subscribe_once(timers_, &call->timer, delay_ns, on_timer, call);
 }
 
 void FakeTopics::carry_out_late()
@@ -241,8 +240,8 @@
 	if (call->fault == Fault::NONE && call->read && !call->waits &&
 	    !has_news(call->read) && call->read->wait_ns) {
 		call->waits = true;
-		timer_subscribe_once(&time_->timers, &call->timer,
-				     call->read->wait_ns, on_timer, call);
+		timer_subscribe_once(timers_, &call->timer, call->read->wait_ns,
+				     on_timer, call);
 		return;
 	}
 	calls_.erase(std::find(calls_.begin(), calls_.end(), call));
@@ -282,7 +281,7 @@
 
 void FakeTopics::cancel(Call *call)
 {
-	timer_unsubscribe(&time_->timers, &call->timer);
+	timer_unsubscribe(timers_, &call->timer);
 	calls_.erase(std::find(calls_.begin(), calls_.end(), call));
 	delete call;
 }
@@ -292,7 +291,7 @@
 {
 	for (Call *call : calls_)
 		if (call->waits && has_news(call->read))
-			timer_subscribe_once(&time_->timers, &call->timer,
+			timer_subscribe_once(timers_, &call->timer,
 					     delay_ms * NS_PER_MS, on_timer,
 					     call);
 }
--- a/t/lib-fake-topics.h
+++ b/t/lib-fake-topics.h
@@ -54,7 +54,7 @@
 class FakeTopics
 {
       public:
-	explicit FakeTopics(FakeTime *time);
+	explicit FakeTopics(struct timer_service *timers);
 	~FakeTopics();
 
 	struct topic_log *log();
@@ -100,7 +100,7 @@
 		struct topic_log log;
 		FakeTopics *self;
 	} base_;
-	FakeTime *time_;
+	struct timer_service *timers_;
 	std::map<std::pair<std::string, uint32_t>, FakePartition> partitions_;
 	std::vector<Call *> calls_;
 	std::vector<std::function<void()>> late_;
--- /dev/null
+++ b/t/test-forward.cc
@@ -0,0 +1,523 @@
+// Single requests through the forwarder: what reaches servers, what callers
+// get, and what each failure allows to be said.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lib-fake-engine.h"
+
+extern "C" {
+#include "entry/caller_port.h"
+#include "platform/config_decode.h"
+}
+
+namespace
+{
+
+const char config_text[] = R"({"version":1,"routes":[
+ {"name":"idem","host":"h","path_prefix":"/i/","type":"idempotent",
+  "timeout_ms":900,"goal_ms":300,"max_attempts":2,"service":"s"},
+ {"name":"once","host":"h","path_prefix":"/o/","type":"non_idempotent",
+  "timeout_ms":900,"goal_ms":300,"max_attempts":2,"service":"s"},
+ {"name":"stream","host":"h","path_prefix":"/s/","type":"stream",
+  "timeout_ms":900,"goal_ms":300,"max_attempts":2,"service":"s"},
+ {"name":"resume","host":"h","path_prefix":"/r/","type":"stream",
+  "resumable":true,"timeout_ms":900,"goal_ms":300,"max_attempts":3,
+  "service":"s"},
+ {"name":"open","host":"h","path_prefix":"/p/","type":"idempotent",
+  "timeout_ms":900,"goal_ms":300,"max_attempts":2,"service":"s",
+  "public":true}],
+ "services":[{"name":"s"}],
+ "limits":{"max_header_bytes":4000,"max_body_bytes":100000,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"red","api_keys":["k1"]}]})";
+
+struct Runs {
+	struct run_counter base;
+	std::vector<std::string> teams;
+};
+
+void on_run(struct run_counter *base, const char *team, int64_t)
+{
+	((Runs *)base)->teams.push_back(team);
+}
+
+void no_submit(struct batch_port *, struct net_request *request,
+	       const struct caller_request *, const struct entry_route *,
+	       const struct entry_team *)
+{
+	net_request_abort(request);
+}
+
+void no_call(struct batch_port *, struct net_request *request,
+	     const struct caller_request *, const struct caller_call *,
+	     const struct entry_team *)
+{
+	net_request_abort(request);
+}
+
+const struct batch_port_vtable no_batches = { no_submit, no_call };
+
+// The port for callers with the forwarder behind it, before fake servers.
+class Forward : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct net_pool_settings pool = test_pool_settings();
+		struct net_limits limits = test_limits();
+		struct error err = ERROR_INIT;
+
+		limits.max_body_bytes = limits.max_held_bytes = 1000000;
+		limits.idle_timeout_ns = 5 * NS_PER_S;
+		counter_set_init(&counters_);
+		net_pool_init(&pool_, &loop_.reactor, &pool);
+		fleet_init(&fleet_);
+		config_holder_init(&config_, nullptr);
+		forwarder_init(&forwarder_, &loop_.reactor, &pool_, &fleet_,
+			       &config_, nullptr, &counters_, "dc", 1);
+		runs_.base.add = on_run;
+		forwarder_.runs = &runs_.base;
+		batches_.vt = &no_batches;
+		caller_port_init(&port_, &config_, &forwarder_, &batches_,
+				 nullptr, &counters_);
+		ASSERT_EQ(0, net_server_init(&server_, &loop_.reactor,
+					     "127.0.0.1:0", &limits,
+					     &port_.handler, &err));
+	}
+
+	void TearDown() override
+	{
+		forwarder_finish(&forwarder_);
+		net_server_finish(&server_);
+		net_pool_finish(&pool_);
+		servers_.clear();
+		fleet_finish(&fleet_);
+		config_holder_finish(&config_);
+		counter_set_finish(&counters_);
+	}
+
+	void configure()
+	{
+		struct error err = ERROR_INIT;
+		struct entry_config *config = platform_config_decode(
+			config_text, strlen(config_text), &err);
+
+		ASSERT_NE(nullptr, config) << err.text;
+		config_holder_take(&config_, config, 0);
+	}
+
+	FakeServer *add(const std::string &id,
+			const FakeServer::Behaviour &behaviour)
+	{
+		servers_.emplace_back(new FakeServer(&loop_, id, behaviour));
+		servers_.back()->join(&fleet_, "s");
+		return servers_.back().get();
+	}
+
+	FakeServer *add(const std::string &id, const ServerReply &reply)
+	{
+		return add(id, [reply](const ServerSaw &) { return reply; });
+	}
+
+	std::string request(const std::string &path,
+			    const std::string &fields = "Api-Key: k1\r\n")
+	{
+		return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" +
+		       "X-Attempt-Id: id1\r\nX-Deadline-Ms: 800\r\n" + fields +
+		       "Content-Length: 4\r\n\r\nbody";
+	}
+
+	// The whole answer to a request; what came, if the connection ended.
+	std::string ask(const std::string &bytes)
+	{
+		RawCaller caller(net_server_port(&server_));
+
+		caller.send(bytes);
+		EXPECT_TRUE(loop_.run_until([&] {
+			return is_whole(caller.received()) ||
+			       caller.is_closed();
+		}));
+		return caller.received();
+	}
+
+	static bool is_whole(const std::string &text)
+	{
+		size_t end = text.find("\r\n\r\n");
+		size_t length = text.find("Content-Length: ");
+
+		if (end == std::string::npos)
+			return false;
+		if (length != std::string::npos && length < end)
+			return text.size() >=
+			       end + 4 +
+				       strtoul(&text[length + 16], nullptr, 10);
+		return text.find("\r\n0\r\n\r\n") != std::string::npos;
+	}
+
+	static int status(const std::string &answer)
+	{
+		return answer.size() > 12 ? atoi(&answer[9]) : 0;
+	}
+
+	int64_t asked()
+	{
+		int64_t count = 0;
+
+		for (auto &server : servers_)
+			count += (int64_t)server->seen.size();
+		return count;
+	}
+
+	TestReactor loop_;
+	struct counter_set counters_;
+	struct net_pool pool_;
+	struct fleet fleet_;
+	struct config_holder config_;
+	struct forwarder forwarder_;
+	Runs runs_ = {};
+	struct batch_port batches_;
+	struct caller_port port_;
+	struct net_server server_;
+	std::vector<std::unique_ptr<FakeServer>> servers_;
+};
+
+ServerReply reply(int status = 200)
+{
+	ServerReply r;
+
+	r.status = status;
+	return r;
+}
+
+ServerReply not_run()
+{
+	ServerReply r;
+
+	r.status = 503;
+	r.not_run = true;
+	return r;
+}
+
+ServerReply cut()
+{
+	ServerReply r;
+
+	r.cut = true;
+	return r;
+}
+
+ServerReply hang()
+{
+	ServerReply r;
+
+	r.hang = true;
+	return r;
+}
+
+ServerReply events(int count = 3)
+{
+	ServerReply r;
+
+	r.stream = true;
+	r.events = count;
+	return r;
+}
+
+struct DenyCase {
+	const char *name;
+	std::string path, fields;
+	int status;
+};
+
+} // namespace
+
+TEST_F(Forward, DeniesWhatTheConfigurationDoesNotAllow)
+{
+	const DenyCase cases[] = {
+		{ "no key", "/i/x", "", 401 },
+		{ "an unknown key", "/i/x", "Api-Key: k2\r\n", 401 },
+		{ "no route", "/none/x", "Api-Key: k1\r\n", 404 },
+		{ "no route without the slash", "/i", "Api-Key: k1\r\n", 404 },
+		{ "malformed time", "/i/x",
+		  "Api-Key: k1\r\nX-Wait-Ms: soon\r\n", 400 },
+		{ "a public route", "/p/x", "", 200 },
+		{ "a known key", "/i/x", "Api-Key: k1\r\n", 200 },
+	};
+
+	add("a", reply());
+	EXPECT_EQ(503, status(ask(request("/i/x")))) << "no configuration yet";
+	configure();
+	for (const DenyCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		int64_t before = asked();
+		int got = status(ask(request(c.path, c.fields)));
+
+		EXPECT_EQ(c.status, got);
+		EXPECT_EQ(before + (c.status == 200), asked());
+	}
+}
+
+TEST_F(Forward, PassesRequestAndAnswerOnUnchanged)
+{
+	FakeServer *server = add("a", reply(201));
+	std::string answer;
+
+	configure();
+	answer = ask(request("/i/x%20y?z=/../", "Api-Key: k1\r\n"
+						"X-Tenant: forged\r\n"));
+	EXPECT_EQ(201, status(answer));
+	EXPECT_NE(std::string::npos, answer.find("X-Response-Stamp: a"));
+	EXPECT_EQ("ok", answer.substr(answer.size() - 2));
+	ASSERT_EQ(1u, server->seen.size());
+	EXPECT_EQ("/i/x%20y?z=/../", server->seen[0].target);
+	EXPECT_EQ("body", server->seen[0].body);
+	EXPECT_EQ("red", server->seen[0].team);
+	EXPECT_EQ("a", server->seen[0].instance);
+	EXPECT_EQ("", server->seen[0].key);
+	EXPECT_LE(atoi(server->seen[0].deadline.c_str()), 800);
+	EXPECT_EQ(std::vector<std::string>{ "red" }, runs_.teams);
+}
+
+namespace
+{
+
+struct FailureCase {
+	const char *name;
+	const char *path;
+	ServerReply first; // of the server that is asked first
+	int status; // 0: the connection ends without one
+	int asked; // servers
+};
+
+} // namespace
+
+// Two servers: the first one asked fails, the other one is sound.
+TEST_F(Forward, RepeatsWhatMayBeRepeatedAndTellsTheTruthElse)
+{
+	ServerReply no_receipt = reply();
+	ServerReply wrong_id = reply();
+	ServerReply other = reply(421);
+
+	no_receipt.no_receipt = true;
+	wrong_id.wrong_id = "another";
+	other.not_run = true;
+	const FailureCase cases[] = {
+		{ "sound", "/i/x", reply(), 200, 1 },
+		{ "full", "/i/x", not_run(), 200, 2 },
+		{ "full, once", "/o/x", not_run(), 200, 2 },
+		{ "another server has the address, once", "/o/x", other, 200,
+		  2 },
+		{ "failed", "/i/x", reply(500), 200, 2 },
+		{ "failed, once", "/o/x", reply(500), 500, 1 },
+		{ "a client's error is the answer", "/i/x", reply(404), 404,
+		  1 },
+		{ "cut", "/i/x", cut(), 200, 2 },
+		{ "cut, once", "/o/x", cut(), 502, 1 },
+		{ "no receipt", "/i/x", no_receipt, 200, 2 },
+		{ "no receipt, once", "/o/x", no_receipt, 502, 1 },
+		{ "another request's answer", "/i/x", wrong_id, 200, 2 },
+		{ "hangs", "/i/x", hang(), 200, 2 },
+		{ "hangs, once", "/o/x", hang(), 504, 1 },
+	};
+
+	configure();
+	for (const FailureCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		int calls = 0;
+		auto behaviour = [&](const ServerSaw &) {
+			return calls++ ? reply() : c.first;
+		};
+
+		fleet_finish(&fleet_);
+		fleet_init(&fleet_);
+		net_pool_forget(&pool_, "");
+		servers_.clear();
+		loop_.run_for(2);
+		add("a", behaviour);
+		add("b", behaviour);
+		EXPECT_EQ(c.status, status(ask(request(c.path))));
+		EXPECT_EQ(c.asked, calls);
+	}
+}
+
+TEST_F(Forward, RefusesWithATimeToComeBackWhereNothingRan)
+{
+	std::string answer;
+
+	configure();
+	answer = ask(request("/i/x"));
+	EXPECT_EQ(503, status(answer)) << "no server is known";
+	EXPECT_NE(std::string::npos, answer.find("Retry-After: 0."));
+	add("a", not_run());
+	add("b", not_run());
+	for (const char *path : { "/i/x", "/o/x", "/s/x", "/r/x" }) {
+		SCOPED_TRACE(path);
+		answer = ask(request(path));
+		EXPECT_EQ(503, status(answer));
+		EXPECT_NE(std::string::npos, answer.find("Retry-After: 0."));
+		EXPECT_NE(std::string::npos, answer.find("not_run"));
+	}
+	EXPECT_TRUE(runs_.teams.empty());
+}
+
+TEST_F(Forward, ASecondTryRescuesASlowOneAndTheFirstIsCancelled)
+{
+	int calls = 0;
+	ServerReply slow = reply();
+	std::string answer;
+
+	slow.delay_ms = 3000;
+	auto behaviour = [&](const ServerSaw &) {
+		return calls++ ? reply() : slow;
+	};
+	add("a", behaviour);
+	add("b", behaviour);
+	configure();
+	answer = ask(request("/i/x"));
+	EXPECT_EQ(200, status(answer));
+	EXPECT_EQ(2, calls);
+	EXPECT_TRUE(loop_.run_until([&] {
+		return servers_[0]->abandoned + servers_[1]->abandoned == 1;
+	}));
+}
+
+TEST_F(Forward, CancelsAtTheServerWhenTheCallerLeaves)
+{
+	FakeServer *server = add("a", hang());
+	RawCaller caller(net_server_port(&server_));
+
+	configure();
+	caller.send(request("/o/x"));
+	ASSERT_TRUE(loop_.run_until([&] { return server->running == 1; }));
+	caller.close();
+	EXPECT_TRUE(loop_.run_until([&] { return server->abandoned == 1; }));
+	EXPECT_EQ(0u, forwarder_.running);
+}
+
+TEST_F(Forward, AnAnswerBeforeOursIsSkipped)
+{
+	ServerReply first = reply();
+
+	configure();
+	first.wrong_id = "late";
+	add("a", first);
+	// The connection ends with the other request's answer alone.
+	EXPECT_NE(200, status(ask(request("/o/x"))));
+}
+
+namespace
+{
+
+struct StreamCase {
+	const char *name;
+	const char *path;
+	ServerReply first;
+	bool whole;
+	std::vector<int> events; // that the caller gets
+	std::string resumed_after; // Last-Event-Id at the second server
+};
+
+ServerReply broken(int after, bool torn = false)
+{
+	ServerReply r = events(6);
+
+	if (torn)
+		r.torn_after = after;
+	else
+		r.cut_after = after;
+	return r;
+}
+
+} // namespace
+
+TEST_F(Forward, StreamsGoOnAtAnotherServerWhereTheyMay)
+{
+	const StreamCase cases[] = {
+		{ "whole", "/s/x", events(6), true, { 1, 2, 3, 4, 5, 6 }, "" },
+		{ "broken", "/s/x", broken(3), false, { 1, 2, 3 }, "" },
+		{ "broken, may go on",
+		  "/r/x",
+		  broken(3),
+		  true,
+		  { 1, 2, 3, 4, 5, 6 },
+		  "3" },
+		{ "torn in an event, may go on",
+		  "/r/x",
+		  broken(2, true),
+		  true,
+		  { 1, 2, 3, 4, 5, 6 },
+		  "2" },
+		{ "torn in an event",
+		  "/s/x",
+		  broken(2, true),
+		  false,
+		  { 1, 2 },
+		  "" },
+		{ "broken before the first event, may go on",
+		  "/r/x",
+		  broken(0),
+		  true,
+		  { 1, 2, 3, 4, 5, 6 },
+		  "" },
+	};
+
+	configure();
+	for (const StreamCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		std::vector<ServerSaw> saw;
+		std::vector<int> got;
+		std::string answer;
+		auto behaviour = [&](const ServerSaw &s) {
+			saw.push_back(s);
+			return saw.size() > 1 ? events(6) : c.first;
+		};
+
+		fleet_finish(&fleet_);
+		fleet_init(&fleet_);
+		servers_.clear();
+		loop_.run_for(2);
+		add("a", behaviour);
+		add("b", behaviour);
+		answer = ask(request(c.path));
+		for (int i = 1; i < 10; i++)
+			if (answer.find("data: id1." + std::to_string(i) +
+					"\n\n") != std::string::npos)
+				got.push_back(i);
+		EXPECT_EQ(c.events, got);
+		EXPECT_EQ(c.whole, is_whole(answer));
+		EXPECT_EQ(200, status(answer));
+		ASSERT_FALSE(saw.empty());
+		EXPECT_EQ(c.resumed_after,
+			  saw.size() > 1 ? saw[1].last_event : "");
+	}
+}
+
+TEST_F(Forward, ALargeAnswerIsPassedOnAsItComes)
+{
+	ServerReply large = reply();
+	std::string answer;
+
+	configure();
+	large.body.assign(1000000, 'x');
+	add("a", large);
+	answer = ask(request("/i/x"));
+	EXPECT_EQ(200, status(answer));
+	EXPECT_EQ(large.body, answer.substr(answer.find("\r\n\r\n") + 4));
+}
+
+// What a server answers after the route's time is over counts no more.
+TEST_F(Forward, AnswersWhenTheRoutesTimeIsOver)
+{
+	int64_t began_ns = reactor_now_ns(&loop_.reactor);
+	int64_t took_ms;
+
+	configure();
+	add("a", hang());
+	EXPECT_EQ(504, status(ask(request("/o/x"))));
+	took_ms = (reactor_now_ns(&loop_.reactor) - began_ns) / NS_PER_MS;
+	EXPECT_GE(took_ms, 790);
+	EXPECT_LE(took_ms, 1300);
+}
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -46,7 +46,7 @@
 class TopicStore : public ::testing::Test
 {
       protected:
-	TopicStore() : topics_(&time_)
+	TopicStore() : topics_(&time_.timers)
 	{
 	}
 
@@ -124,7 +124,7 @@
 
 	for (const FaultCase &c : cases) {
 		SCOPED_TRACE(c.name);
-		FakeTopics topics(&time_);
+		FakeTopics topics(&time_.timers);
 		std::vector<Fault> faults = c.faults;
 		struct topic_writer writer;
 		Write write;
@@ -251,7 +251,7 @@
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		SCOPED_TRACE(seed);
-		FakeTopics topics(&time_);
+		FakeTopics topics(&time_.timers);
 		struct topic_writer writer;
 		std::vector<Write> writes(60);
 		struct rng rng;
