batch: judge engines by what runs show

Runs begin the circuit now, a probe that is withdrawn makes room for another, and a run that ends well, not an answer's head, forgets failures. - An item went back to the engine where it had just failed for ever. It now comes last among the engines to choose from. - An item of a one-version batch whose weights nobody has any more waited for ever; its text is dropped. - Slow engines kept their items. Each engine's pace is taken from the times between events, and items move where they end sooner. - An id of another team's batch was answered as a repeat; it gets 409. - A daemon looked at its readiness every 500 ms; now every 20 ms until it is ready.

Tests: 14 cases from submission to last result, before fake engines and a store with faults; tables for pace, moves, places and circuits.

--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 #include "batch/batch_runner_private.h"
 
 #define WATCH_PERIOD_NS (100 * NS_PER_MS)
@@ -245,6 +246,8 @@
 	counter_add(runner->runs_ended[end], 1);
 	report_run(runner, run, item_run_end_name(end));
 	wait_again(item, 0);
+	if (end != ITEM_RUN_COMPLETE)
+		item->failed_at = hash_text(run->engine->server->entry.id, 0);
 	switch (end) {
 	case ITEM_RUN_COMPLETE:
 		circuit_succeeded(&run->engine->server->circuit);
@@ -254,7 +257,6 @@
 		learn_refusal(runner, run);
 		break;
 	case ITEM_RUN_FAILED:
-		circuit_succeeded(&run->engine->server->circuit);
 		give_up_or_wait(runner, item);
 		break;
 	case ITEM_RUN_REJECTED:
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -28,6 +28,13 @@
 /* Looks after runs: silent engines, leaving ones, time that is over. */
 void runner_watch(struct batch_runner *runner);
 
+/* Moves runs to engines where they end sooner. */
+void runner_move_items(struct batch_runner *runner);
+
+/* Goes on with the run's item at another engine. */
+void runner_move(struct batch_runner *runner, struct item_run *run,
+		 struct engine_state *engine);
+
 /* Ends a run; its item waits again. */
 void runner_requeue(struct batch_runner *runner, struct item_run *run,
 		    const char *reason);
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -110,24 +110,49 @@
 	       &refusal);
 }
 
+/* The id stands for a batch of another team, and always will. */
+static void refuse_foreign_id(struct batch_api *api,
+			      struct net_request *request, const char *batch)
+{
+	struct refusal refusal = {
+		.status = 409,
+		.type = "id_in_use",
+		.detail = "a batch of another team has this id",
+		.retry_after_ns = -1,
+	};
+
+	refuse(api, request, batch, &refusal);
+}
+
+/* Of several submissions of an id, the first one in the log counts. */
+static int is_foreign_id(struct batch_api *api, const char *batch,
+			 const char *team)
+{
+	struct batch_partition *in;
+	const struct batch *known = batch_set_find(api->set, batch, &in);
+
+	return known && strcmp(known->team, team) != 0;
+}
+
 static void on_accepted(struct batch_write *write,
 			enum topic_write_outcome outcome)
 {
 	struct batch_submission *submission = write->arg;
 	struct batch_api *api = submission->api;
+	struct net_request *request = submission->request;
 
 	batch_write_free(write);
 	submission->write = NULL;
 	if (outcome != TOPIC_WRITE_REFUSED)
 		counter_add(api->accepted, 1);
-	if (submission->request) {
-		if (outcome == TOPIC_WRITE_REFUSED)
-			refuse_store(submission);
-		else
-			answer_accepted(api, submission->request,
-					submission->batch,
-					submission->draft.item_count, "stored");
-	}
+	if (request && outcome == TOPIC_WRITE_REFUSED)
+		refuse_store(submission);
+	else if (request &&
+		 is_foreign_id(api, submission->batch, submission->team))
+		refuse_foreign_id(api, request, submission->batch);
+	else if (request)
+		answer_accepted(api, request, submission->batch,
+				submission->draft.item_count, "stored");
 	free_submission(submission);
 }
 
@@ -324,13 +349,17 @@
 
 /* Whether the batch was accepted before, here or elsewhere. */
 static int is_known(struct batch_api *api, struct net_request *request,
-		    const char *batch)
+		    const char *batch, const char *team)
 {
 	struct batch_partition *in;
 	const struct batch *known = batch_set_find(api->set, batch, &in);
 
 	if (!known)
 		return 0;
+	if (strcmp(known->team, team) != 0) {
+		refuse_foreign_id(api, request, batch);
+		return 1;
+	}
 	counter_add(api->repeated, 1);
 	answer_accepted(api, request, batch, known->item_count, "repeated");
 	return 1;
@@ -354,7 +383,7 @@
 		refuse(api, request, NULL, &no_id);
 		return;
 	}
-	if (is_known(api, request, caller->id) ||
+	if (is_known(api, request, caller->id, team ? team->name : "") ||
 	    check_draft(api, request, caller->id, request->body.buf,
 			request->body.len, &draft))
 		return;
--- a/batch/engine_state.c
+++ b/batch/engine_state.c
@@ -5,9 +5,6 @@
 
 #include "base/alloc.h"
 
-/* Weight of one interval between events in the mean. */
-#define INTERVAL_WEIGHT 0.1
-
 struct engine_state *engine_state_get(struct fleet_server *server,
 				      struct engine_state **all)
 {
@@ -89,15 +86,3 @@
 
 	return seen && now_ns < seen->blocked_until_ns;
 }
-
-void engine_state_add_interval(struct engine_state *engine, double interval_ns,
-			       double token_time)
-{
-	double alone_ns = interval_ns / token_time;
-
-	if (!engine->interval_ns)
-		engine->interval_ns = alone_ns;
-	else
-		engine->interval_ns +=
-			INTERVAL_WEIGHT * (alone_ns - engine->interval_ns);
-}
--- a/batch/engine_state.h
+++ b/batch/engine_state.h
@@ -2,6 +2,7 @@
 #define BATCH_ENGINE_STATE_H
 
 #include "fleet/fleet.h"
+#include "policy/engine_pace.h"
 
 /*
  * What the scheduler of batches knows of one engine, beside its entry: this
@@ -21,9 +22,7 @@
 	uint32_t model_count;
 	uint32_t running; /* items of this daemon */
 	double memory_tokens; /* that these may take */
-	double interval_ns; /* between events, as if a run were alone; 0:
-			       unknown */
-	int64_t event_ns; /* the last event of any run */
+	struct engine_pace pace;
 	int64_t suspect_until_ns; /* it fell silent */
 	uint64_t prefix; /* last shared part of the prompt it read */
 	struct engine_state *next;
@@ -50,8 +49,4 @@
 int engine_state_is_blocked(const struct engine_state *engine,
 			    const char *model, int64_t now_ns);
 
-/* An event came `interval_ns` after the one before, with `running` runs. */
-void engine_state_add_interval(struct engine_state *engine, double interval_ns,
-			       double token_time);
-
 #endif
--- a/batch/item_run.c
+++ b/batch/item_run.c
@@ -6,7 +6,6 @@
 #include "base/alloc.h"
 #include "platform/batch_codec.h"
 #include "platform/messages.h"
-#include "policy/item_place.h"
 
 const char *item_run_end_name(enum item_run_end end)
 {
@@ -93,16 +92,19 @@
 	return run->unfit ? NET_HEAD_REFUSE : NET_HEAD_TAKE;
 }
 
-static void learn_speed(struct item_run *run, int64_t now_ns)
+/*
+ * An engine that answers well and then breaks off is not sound: before its
+ * first failures are forgotten, a run must come to its end there.
+ */
+static void learn_event(struct item_run *run, int64_t now_ns)
 {
 	struct engine_state *engine = run->engine;
-	struct place_engine place = { .speed = 1 };
 
+	if (engine->server->circuit.state == CIRCUIT_HALF_OPEN)
+		circuit_succeeded(&engine->server->circuit);
 	if (run->event_count > 1)
-		engine_state_add_interval(
-			engine, (double)(now_ns - run->event_ns),
-			place_token_time(&place, engine->running));
-	engine->event_ns = now_ns;
+		engine_pace_add(&engine->pace, (double)(now_ns - run->event_ns),
+				engine->running, now_ns);
 	run->event_ns = now_ns;
 }
 
@@ -124,7 +126,7 @@
 	if (run->unfit)
 		return -1;
 	run->event_count++;
-	learn_speed(run, reactor_now_ns(run->reactor));
+	learn_event(run, reactor_now_ns(run->reactor));
 	return item_text_add(made, event->id, event->data.buf, event->data.len,
 			     run->version);
 }
@@ -226,6 +228,7 @@
 	if (run->next)
 		run->next->at = &run->next;
 	owner->runs = run;
+	circuit_begin(&engine->server->circuit, run->began_ns);
 	engine->running++;
 	engine->memory_tokens += run->memory_tokens;
 	engine->server->running++;
@@ -244,6 +247,8 @@
 
 void item_run_cancel(struct item_run *run)
 {
+	circuit_withdrawn(&run->engine->server->circuit,
+			  reactor_now_ns(run->reactor));
 	net_call_cancel(&run->net);
 	free_run(run);
 }
--- /dev/null
+++ b/batch/runner_choice.c
@@ -0,0 +1,195 @@
+#include "batch/runner_choice.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+#include "policy/item_order.h"
+
+/* Part of an engine's memory that runs are planned into. */
+#define MEMORY_PART 0.95
+/* Free memory of an engine of which none is known, or that runs nothing. */
+#define MEMORY_ANY 1e18
+
+/* The same service for every run of an item while the weights hold. */
+const char *runner_item_service(const struct batch_runner *runner,
+				const struct run_item *item)
+{
+	const struct entry_route *route = runner_route(runner, item);
+	uint64_t hash = hash_text(runner_item_id(item), 0);
+
+	if (!route)
+		return NULL;
+	return entry_route_service(route, (double)(hash >> 11) /
+						  (double)(UINT64_C(1) << 53));
+}
+
+static uint32_t tokens_per_event(const struct entry_service *service)
+{
+	return service && service->tokens_per_event ? service->tokens_per_event
+						    : 1;
+}
+
+static double tokens_done(const struct run_item *item,
+			  const struct entry_service *service)
+{
+	if (item->made.last_event < 0)
+		return 0;
+	return (double)item->made.last_event * tokens_per_event(service);
+}
+
+void runner_item_need(const struct run_item *item,
+		      const struct entry_service *service,
+		      struct item_need *need)
+{
+	const Currant__Topic__BatchItem *spec = item->spec;
+	double done = tokens_done(item, service);
+
+	need->tokens_left = item_expected_tokens(spec->length_hint,
+						 spec->max_output_tokens,
+						 done) -
+			    done;
+	need->memory_tokens = spec->prompt_tokens + done + need->tokens_left;
+}
+
+uint64_t runner_item_prefix(const struct run_item *item)
+{
+	const Currant__Topic__BatchItem *spec = item->spec;
+
+	return spec->n_part_ids > 1 ? spec->part_ids[spec->n_part_ids - 2] : 0;
+}
+
+static double typical_pace(const struct batch_runner *runner,
+			   const struct engine_list *list)
+{
+	double paces[CHOICE_ENGINES_MAX];
+	int64_t now_ns = runner_now_ns(runner);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		double known_ns =
+			engine_pace_known(&list->engines[i]->pace, now_ns);
+
+		if (known_ns > 0)
+			paces[count++] = known_ns;
+	}
+	return engine_pace_typical(paces, count);
+}
+
+void runner_list_engines(struct batch_runner *runner, const char *service,
+			 struct engine_list *list)
+{
+	list->service = entry_config_service(runner->config->current, service);
+	list->count = 0;
+	for (struct fleet_server *s = runner->fleet->first;
+	     s && list->count < CHOICE_ENGINES_MAX; s = s->next)
+		if (!strcmp(s->entry.service, service))
+			list->engines[list->count++] =
+				engine_state_get(s, &runner->engines);
+	list->typical_ns = typical_pace(runner, list);
+}
+
+/* Whether the engine's weights may make the item's next events. */
+static int version_fits(const struct run_item *item,
+			const struct engine_state *engine, const char *model)
+{
+	const struct batch *batch = item->owner->batch;
+	uint64_t version = engine_state_version(engine, model);
+
+	if (!*model)
+		return 1;
+	if (!version || version < batch->min_version)
+		return 0;
+	return !batch->single_version || !item->made.version_count ||
+	       item->made.versions[0] == version;
+}
+
+int runner_text_is_stranded(const struct run_item *item,
+			    const struct engine_list *list)
+{
+	const struct item_text *made = &item->made;
+
+	if (!item->owner->batch->single_version || !made->version_count)
+		return 0;
+	for (uint32_t i = 0; i < list->count; i++)
+		if (!list->engines[i]->server->gone &&
+		    engine_state_version(list->engines[i],
+					 runner_model(item)) ==
+			    made->versions[0])
+			return 0;
+	return 1;
+}
+
+static double free_memory(const struct engine_state *engine,
+			  const struct entry_service *service)
+{
+	/* An engine that runs nothing takes what fits into it at all. */
+	if (!engine->running || !service || !service->memory_tokens)
+		return MEMORY_ANY;
+	return service->memory_tokens * MEMORY_PART - engine->memory_tokens;
+}
+
+static void view_engine(struct batch_runner *runner,
+			const struct run_item *item,
+			const struct engine_list *list,
+			const struct engine_state *engine,
+			struct place_engine *view)
+{
+	const struct fleet_server *server = engine->server;
+	const char *model = runner_model(item);
+	int64_t now_ns = runner_now_ns(runner);
+	uint64_t prefix = runner_item_prefix(item);
+
+	view->slots = server->entry.slots;
+	view->running = engine->running;
+	view->waiting = 0;
+	view->usable = fleet_server_usable(server, now_ns) &&
+		       now_ns >= engine->suspect_until_ns &&
+		       engine->running < server->entry.slots &&
+		       version_fits(item, engine, model) &&
+		       !engine_state_is_blocked(engine, model, now_ns);
+	view->memory_tokens = free_memory(engine, list->service);
+	view->speed =
+		engine_pace_speed(&engine->pace, list->typical_ns, now_ns);
+	view->same_data_centre =
+		!strcmp(server->entry.data_centre, runner->data_centre);
+	view->holds_prefix = prefix && engine->prefix == prefix;
+	view->cheap = server->entry.cheap;
+	view->failed_it = item->failed_at == hash_text(server->entry.id, 0);
+}
+
+struct engine_state *runner_choose_engine(struct batch_runner *runner,
+					  const struct run_item *item,
+					  const struct engine_list *list,
+					  const struct item_need *need,
+					  const struct engine_state *except,
+					  struct place_engine *view)
+{
+	struct place_engine views[CHOICE_ENGINES_MAX];
+	struct place_item place = { .tokens_left = need->tokens_left,
+				    .memory_tokens = need->memory_tokens };
+	int32_t chosen;
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		view_engine(runner, item, list, list->engines[i], &views[i]);
+		if (list->engines[i] == except)
+			views[i].usable = 0;
+	}
+	chosen = item_place(views, list->count, &place);
+	if (chosen < 0)
+		return NULL;
+	*view = views[chosen];
+	return list->engines[chosen];
+}
+
+double runner_token_ns(const struct batch_runner *runner,
+		       const struct engine_list *list,
+		       const struct engine_state *engine, uint32_t running)
+{
+	struct place_engine view = {
+		.speed = engine_pace_speed(&engine->pace, list->typical_ns,
+					   runner_now_ns(runner)),
+	};
+
+	return list->typical_ns / tokens_per_event(list->service) *
+	       place_token_time(&view, running);
+}
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -88,6 +88,7 @@
 void runner_watch(struct batch_runner *runner)
 {
 	check_runs(runner);
+	runner_move_items(runner);
 	for (struct owned_partition *o = runner->owned; o; o = o->next)
 		for (struct run_batch *b = o->batches; b; b = b->next)
 			check_batch(runner, b);
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -13,6 +13,8 @@
 #include "policy/partition_owner.h"
 
 #define UPKEEP_PERIOD_NS (500 * NS_PER_MS)
+/* Until the daemon is ready, callers may have no other one to ask. */
+#define UPKEEP_STARTING_NS (20 * NS_PER_MS)
 /* A backend server or the store is one or two milliseconds away. */
 #define CONNECT_TIMEOUT_NS (250 * NS_PER_MS)
 /* Where the other side does not say how long it keeps a connection. */
@@ -152,6 +154,17 @@
 	report_life(daemon, "reloaded", reason);
 }
 
+static void on_upkeep(void *arg, int64_t at_ns);
+
+static void subscribe_upkeep(struct entry_daemon *daemon)
+{
+	timer_subscribe_once(&daemon->reactor.timers, &daemon->upkeep,
+			     daemon->is_ready || daemon->leaving
+				     ? UPKEEP_PERIOD_NS
+				     : UPKEEP_STARTING_NS,
+			     on_upkeep, daemon);
+}
+
 static void on_upkeep(void *arg, int64_t at_ns)
 {
 	struct entry_daemon *daemon = arg;
@@ -159,6 +172,7 @@
 	(void)at_ns;
 	update_ready(daemon);
 	update_rank(daemon);
+	subscribe_upkeep(daemon);
 	if (file_mtime_ns(daemon->settings_path) != daemon->settings_mtime_ns)
 		reload(daemon, "file_changed");
 }
@@ -522,8 +536,7 @@
 	discovery_start(&daemon->discovery);
 	duty_lease_start(&daemon->duty_lease);
 	weight_board_start(&daemon->weight_board);
-	timer_subscribe(&daemon->reactor.timers, &daemon->upkeep,
-			UPKEEP_PERIOD_NS, on_upkeep, daemon);
+	subscribe_upkeep(daemon);
 	return 0;
 }
 
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -241,6 +241,8 @@
 
 void forward_try_cancel(struct forward_try *try)
 {
+	circuit_withdrawn(&try->server->circuit,
+			  reactor_now_ns(try->forward->forwarder->reactor));
 	net_call_cancel(&try->net);
 	forward_try_free(try);
 }
--- a/policy/circuit.c
+++ b/policy/circuit.c
@@ -64,3 +64,11 @@
 		now_ns + open_ns +
 		(int64_t)rng_below(rng, (uint64_t)open_ns / 4 + 1);
 }
+
+void circuit_withdrawn(struct circuit *circuit, int64_t now_ns)
+{
+	if (circuit->state != CIRCUIT_HALF_OPEN)
+		return;
+	circuit->state = CIRCUIT_OPEN;
+	circuit->retry_at_ns = now_ns;
+}
--- a/policy/circuit.h
+++ b/policy/circuit.h
@@ -40,4 +40,7 @@
 /* The connection failed or was cut, or the server did not answer in time. */
 void circuit_failed(struct circuit *circuit, struct rng *rng, int64_t now_ns);
 
+/* A request was withdrawn before it had an outcome; another may probe. */
+void circuit_withdrawn(struct circuit *circuit, int64_t now_ns);
+
 #endif
--- a/policy/item_place.c
+++ b/policy/item_place.c
@@ -5,12 +5,19 @@
 /* Advantages, relative to the time of the item there. */
 #define SAME_DATA_CENTRE_GAIN 0.02
 #define PREFIX_GAIN 0.02
+/* An engine where the item failed is the last choice, yet one. */
+#define FAILED_FACTOR 10
+
+double place_step_time(uint32_t running)
+{
+	return 1 + STEP_PER_RUN * (running ? running - 1 : 0);
+}
 
 double place_token_time(const struct place_engine *engine, uint32_t running)
 {
 	double speed = engine->speed > 0 ? engine->speed : 1;
 
-	return (1 + STEP_PER_RUN * running) / speed;
+	return place_step_time(running) / speed;
 }
 
 static double cost(const struct place_engine *engine)
@@ -21,6 +28,8 @@
 	/* Beyond its slots an item waits for another one to end. */
 	if (engine->slots && ahead >= engine->slots)
 		time *= 2 + (double)(ahead - engine->slots) / engine->slots;
+	if (engine->failed_it)
+		time *= FAILED_FACTOR;
 	if (engine->same_data_centre)
 		time *= 1 - SAME_DATA_CENTRE_GAIN;
 	if (engine->holds_prefix)
--- a/policy/item_place.h
+++ b/policy/item_place.h
@@ -19,6 +19,7 @@
 	int same_data_centre;
 	int holds_prefix; /* ran another item of the group lately */
 	int cheap; /* may be taken away */
+	int failed_it; /* the item's last run failed there */
 };
 
 struct place_item {
@@ -31,7 +32,10 @@
 int32_t item_place(const struct place_engine *engines, uint32_t count,
 		   const struct place_item *item);
 
-/* Relative time of one token at an engine with `running` runs. */
+/* Time of a step with `running` runs, relative to that of a single one. */
+double place_step_time(uint32_t running);
+
+/* The same of a token at this engine, by its speed. */
 double place_token_time(const struct place_engine *engine, uint32_t running);
 
 #endif
--- /dev/null
+++ b/t/lib-batch-host.h
@@ -0,0 +1,103 @@
+#ifndef T_LIB_BATCH_HOST_H
+#define T_LIB_BATCH_HOST_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lib-fake-engine.h"
+#include "lib-fake-topics.h"
+
+extern "C" {
+#include "batch/batch_api.h"
+#include "batch/batch_runner.h"
+#include "batch/partition_keeper.h"
+#include "entry/caller_port.h"
+#include "platform/config_decode.h"
+}
+
+// One result as a reader gets it.
+struct ReadResult {
+	std::string id, state, text;
+	std::vector<uint64_t> versions;
+};
+
+struct ReadAnswer {
+	int status = 0; // 0: none came
+	uint64_t total = 0;
+	uint64_t next = 0;
+	std::vector<ReadResult> results;
+};
+
+// A submission as trainers make it.
+struct Submission {
+	std::string id = "batch1";
+	std::string model = "m";
+	std::string key = "k1";
+	uint64_t step = 0;
+	uint64_t min_version = 1;
+	int groups = 2;
+	int group_size = 2;
+	int length_hint = 0; // tokens; 0: none
+	std::string item_prefix; // of the items' ids; the batch's id if empty
+	std::string path = "/b/";
+
+	std::string item(int number) const;
+	int items() const
+	{
+		return groups * group_size;
+	}
+	std::string body() const;
+};
+
+// What a daemon does about batches: the calls, the partitions that it owns
+// and the runs of items, without the rest of a daemon.
+class BatchHost
+{
+      public:
+	BatchHost(TestReactor *loop, FakeTopics *topics,
+		  const std::string &name, uint64_t incarnation = 1);
+	~BatchHost();
+
+	// Puts a configuration into force; `extra` goes into the route.
+	void configure(uint64_t version = 1, const std::string &extra = "",
+		       bool with_route = true);
+	void wait_ready();
+
+	// Status of the answer to a call; 0 if the connection ended.
+	int submit(const Submission &submission);
+	ReadAnswer read(const std::string &batch, uint64_t after = 0,
+			bool wait = false);
+	int end(const std::string &batch);
+	int body(const std::string &batch, const std::string &item,
+		 std::string *out);
+	// Reads until all of the items are listed; false after `limit_ms`.
+	bool read_all(const Submission &submission, ReadAnswer *out,
+		      int64_t limit_ms = 8000);
+	// As at a SIGTERM.
+	void leave();
+
+	struct fleet fleet;
+	struct batch_set set;
+	struct batch_api api;
+	struct batch_runner runner;
+	struct discovery discovery;
+	struct partition_keeper keeper;
+	struct counter_set counters;
+
+      private:
+	std::string ask(const std::string &bytes);
+
+	TestReactor *loop_;
+	std::string name_;
+	struct net_pool pool_;
+	struct config_holder config_;
+	struct forwarder forwarder_;
+	struct caller_port port_;
+	struct net_server server_;
+};
+
+// The text that a fake engine makes of an item with so many events.
+std::string fake_text(const std::string &item, int events);
+
+#endif
--- a/t/lib-reactor.cc
+++ b/t/lib-reactor.cc
@@ -109,6 +109,35 @@
 	return reset_;
 }
 
+bool http_is_whole(const std::string &text)
+{
+	size_t end = text.find("\r\n\r\n");
+	size_t length = text.find("Content-Length: ");
+
+	if (end == std::string::npos)
+		return false;
+	if (length != std::string::npos && length < end)
+		return text.size() >=
+		       end + 4 + strtoul(&text[length + 16], nullptr, 10);
+	return text.find("\r\n0\r\n\r\n") != std::string::npos;
+}
+
+int http_status(const std::string &answer)
+{
+	return answer.size() > 12 ? atoi(&answer[9]) : 0;
+}
+
+std::string http_ask(TestReactor *loop, uint16_t port, const std::string &bytes)
+{
+	RawCaller caller(port);
+
+	caller.send(bytes);
+	EXPECT_TRUE(loop->run_until([&] {
+		return http_is_whole(caller.received()) || caller.is_closed();
+	}));
+	return caller.received();
+}
+
 struct net_limits test_limits()
 {
 	struct net_limits limits = {};
--- a/t/lib-reactor.h
+++ b/t/lib-reactor.h
@@ -50,6 +50,14 @@
 	std::string received_;
 };
 
+// Whether the text is a whole answer with a length or in chunks.
+bool http_is_whole(const std::string &text);
+// Status of an answer; 0 if there is none.
+int http_status(const std::string &answer);
+// The whole answer to a request; what came, if the connection ended.
+std::string http_ask(TestReactor *loop, uint16_t port,
+		     const std::string &bytes);
+
 struct net_limits test_limits();
 struct net_pool_settings test_pool_settings();
 
--- /dev/null
+++ b/t/test-batch-runner.cc
@@ -0,0 +1,591 @@
+// Batches from the submission to the last result: one or two daemons before
+// fake engines and a store in memory, with faults of each.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lib-batch-host.h"
+
+namespace
+{
+
+ServerReply stream(int events = 4, int interval_ms = 1, uint64_t version = 1)
+{
+	ServerReply r;
+
+	r.stream = true;
+	r.events = events;
+	r.interval_ms = interval_ms;
+	r.version = version;
+	return r;
+}
+
+ServerReply status(int code, bool not_run = false)
+{
+	ServerReply r;
+
+	r.status = code;
+	r.not_run = not_run;
+	return r;
+}
+
+class Batches : public ::testing::Test
+{
+      protected:
+	Batches() : topics_(&loop_.reactor.timers)
+	{
+		topics_.delay_ms = 1;
+		topics_.log()->max_record_bytes = 65536;
+		topics_.log()->max_append_bytes = 1000000;
+	}
+
+	BatchHost *add_host(const std::string &name, uint64_t incarnation = 1)
+	{
+		hosts_.emplace_back(
+			new BatchHost(&loop_, &topics_, name, incarnation));
+		hosts_.back()->configure();
+		for (auto &engine : engines_)
+			engine->join(&hosts_.back()->fleet, "s", "m");
+		hosts_.back()->wait_ready();
+		return hosts_.back().get();
+	}
+
+	FakeServer *add_engine(const std::string &id,
+			       const FakeServer::Behaviour &behaviour,
+			       uint64_t version = 1, uint32_t slots = 4)
+	{
+		engines_.emplace_back(new FakeServer(&loop_, id, behaviour));
+		for (auto &host : hosts_)
+			engines_.back()->join(&host->fleet, "s", "m", version,
+					      false, slots);
+		return engines_.back().get();
+	}
+
+	FakeServer *add_engine(const std::string &id, const ServerReply &reply,
+			       uint64_t version = 1, uint32_t slots = 4)
+	{
+		return add_engine(
+			id, [reply](const ServerSaw &) { return reply; },
+			version, slots);
+	}
+
+	void kill(BatchHost *host)
+	{
+		hosts_.erase(std::find_if(
+			hosts_.begin(), hosts_.end(),
+			[host](auto &h) { return h.get() == host; }));
+	}
+
+	// All results are there, once each, with the text of `events` events.
+	static void expect_whole(const Submission &submission,
+				 const ReadAnswer &answer, int events)
+	{
+		std::set<std::string> seen;
+
+		EXPECT_EQ((uint64_t)submission.items(), answer.total);
+		for (const ReadResult &result : answer.results) {
+			EXPECT_TRUE(seen.insert(result.id).second) << result.id;
+			EXPECT_EQ("complete", result.state);
+			EXPECT_EQ(fake_text(result.id, events), result.text);
+		}
+		EXPECT_EQ((size_t)submission.items(), seen.size());
+	}
+
+	int64_t ended(BatchHost *host, const std::string &outcome)
+	{
+		return counter_value(counter_get(
+			&host->counters,
+			("item_runs_ended_total{outcome=\"" + outcome + "\"}")
+				.c_str()));
+	}
+
+	TestReactor loop_;
+	FakeTopics topics_;
+	std::vector<std::unique_ptr<FakeServer>> engines_;
+	std::vector<std::unique_ptr<BatchHost>> hosts_;
+};
+
+} // namespace
+
+TEST_F(Batches, AreAcceptedRunListedAndEnded)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+	std::string body;
+
+	EXPECT_EQ(404, host->read("batch1").status);
+	ASSERT_EQ(202, host->submit(submission));
+	EXPECT_EQ(200, host->body("batch1", submission.item(0), &body));
+	EXPECT_EQ("body", body);
+	EXPECT_EQ(404, host->body("batch1", "none", &body));
+	EXPECT_EQ(0u, host->read("batch1").results.size());
+	add_engine("e", stream());
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 4);
+	EXPECT_EQ(std::vector<uint64_t>{ 1 }, answer.results[0].versions);
+
+	/* From any position, the same. */
+	for (uint64_t after = 0; after <= 4; after++) {
+		ReadAnswer rest = host->read("batch1", after);
+
+		ASSERT_EQ(4 - after, rest.results.size());
+		EXPECT_EQ(4u, rest.next);
+		for (size_t i = 0; i < rest.results.size(); i++)
+			EXPECT_EQ(answer.results[after + i].id,
+				  rest.results[i].id);
+	}
+	EXPECT_EQ(200, host->end("batch1"));
+	EXPECT_EQ(200, host->end("batch1"));
+	EXPECT_EQ(4u, host->read("batch1").results.size());
+	EXPECT_EQ(202, host->submit(submission)) << "a repeat";
+	EXPECT_EQ(4u, engines_[0]->seen.size());
+}
+
+TEST_F(Batches, BelongToTheirTeam)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	Submission stolen;
+
+	stolen.key = "k2";
+	ASSERT_EQ(202, host->submit(submission));
+	EXPECT_EQ(409, host->submit(stolen)) << "an id of another team";
+	submission.id = "batch2";
+	submission.key = "none";
+	EXPECT_EQ(401, host->submit(submission));
+	submission.key = "k1";
+	submission.path = "/none/";
+	EXPECT_EQ(404, host->submit(submission));
+}
+
+namespace
+{
+
+struct RunCase {
+	const char *name;
+	// What the first engine does with the nth request that it gets.
+	std::function<ServerReply(int)> behaviour;
+	int least_runs; // in all, for four items
+};
+
+std::function<ServerReply(int)> constant(const ServerReply &reply)
+{
+	return [reply](int) { return reply; };
+}
+
+std::function<ServerReply(int)> at_first(const ServerReply &reply)
+{
+	return [reply](int n) { return n < 2 ? reply : stream(); };
+}
+
+} // namespace
+
+// One engine of two fails in each way; the items come whole all the same.
+TEST_F(Batches, CompleteItemsWhateverOneEngineDoes)
+{
+	ServerReply cut_after = stream();
+	ServerReply torn = stream();
+	ServerReply silent = stream();
+	ServerReply gap = stream();
+	ServerReply old = stream(4, 1, 0);
+	ServerReply no_receipt = stream();
+	ServerReply wrong_id = stream();
+	ServerReply other = status(421, true);
+	ServerReply cut;
+	ServerReply hang;
+
+	cut_after.cut_after = 2;
+	torn.torn_after = 1;
+	silent.silent_after = 1;
+	gap.skip = 3;
+	no_receipt.no_receipt = true;
+	wrong_id.wrong_id = "another";
+	cut.cut = true;
+	hang.hang = true;
+	const RunCase cases[] = {
+		{ "sound", constant(stream()), 4 },
+		{ "cut after two events", constant(cut_after), 5 },
+		{ "cut in an event", constant(torn), 5 },
+		{ "silent after an event", constant(silent), 5 },
+		{ "no answer", constant(hang), 5 },
+		{ "cut before the answer", constant(cut), 5 },
+		{ "an event is missing", constant(gap), 5 },
+		{ "older weights than allowed", constant(old), 5 },
+		{ "no receipt", constant(no_receipt), 5 },
+		{ "another request's answer", constant(wrong_id), 5 },
+		{ "fails once", at_first(status(500)), 5 },
+		{ "is full", at_first(status(503, true)), 5 },
+		{ "another engine has the address", constant(other), 5 },
+	};
+
+	for (const RunCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		int calls = 0;
+		Submission submission;
+		ReadAnswer answer;
+		BatchHost *host = add_host("a", 1 + (uint64_t)(&c - cases));
+
+		submission.id = "b" + std::to_string(&c - cases);
+		add_engine("first", [&](const ServerSaw &) {
+			return c.behaviour(calls++);
+		});
+		add_engine("second", stream());
+		EXPECT_EQ(202, host->submit(submission));
+		EXPECT_TRUE(host->read_all(submission, &answer));
+		expect_whole(submission, answer, 4);
+		EXPECT_GE(engines_[0]->seen.size() + engines_[1]->seen.size(),
+			  (size_t)c.least_runs);
+		kill(host);
+		engines_.clear();
+	}
+}
+
+// A text goes on only where its last event was, and by the versions told.
+TEST_F(Batches, GoOnAtAnotherEngineFromTheLastEvent)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+	ServerReply cut_after = stream(4, 1, 3);
+
+	cut_after.cut_after = 2;
+	submission.groups = submission.group_size = 1;
+	add_engine("first", cut_after, 3);
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(
+		loop_.run_until([&] { return engines_[0]->seen.size() == 1; }));
+	engines_[0]->join(&host->fleet, "s", "m", 3, true);
+	add_engine("second", stream(4, 1, 5), 5);
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 4);
+	EXPECT_EQ((std::vector<uint64_t>{ 3, 5 }), answer.results[0].versions);
+	EXPECT_EQ("2", engines_[1]->seen[0].last_event);
+}
+
+TEST_F(Batches, OfOneVersionBeginAnewUnderAnother)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+	ServerReply changes = stream(6, 1, 3);
+
+	host->configure(2, ",\"single_version\":true");
+	submission.groups = submission.group_size = 1;
+	changes.new_version_at = 3;
+	int calls = 0;
+	add_engine(
+		"only",
+		[&](const ServerSaw &) {
+			return calls++ ? stream(6, 1, 4) : changes;
+		},
+		3);
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 6);
+	EXPECT_EQ(std::vector<uint64_t>{ 4 }, answer.results[0].versions);
+}
+
+namespace
+{
+
+struct GiveUpCase {
+	const char *name;
+	ServerReply reply;
+	std::string route; // further settings
+	bool drop_route;
+	int most_runs; // of one item
+};
+
+} // namespace
+
+TEST_F(Batches, GiveUpOnlyWhatCannotBeDone)
+{
+	const GiveUpCase cases[] = {
+		{ "can never be done", status(422), "", false, 1 },
+		{ "fails each time", status(500), "", false, 2 },
+		{ "time is over", status(503, true), ",\"retention_s\":0.3",
+		  false, 1000 },
+		{ "the route is gone", status(503, true), "", true, 1000 },
+	};
+
+	for (const GiveUpCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		BatchHost *host = add_host("a", 1 + (uint64_t)(&c - cases));
+		Submission submission;
+		ReadAnswer answer;
+		std::map<std::string, int> runs;
+
+		submission.id = "b" + std::to_string(&c - cases);
+		host->configure(2, c.route);
+		add_engine("first", c.reply);
+		add_engine("second", c.reply);
+		ASSERT_EQ(202, host->submit(submission));
+		if (c.drop_route)
+			host->configure(3, "", false);
+		loop_.run_until([&] {
+			BatchHost *h = host;
+			uint32_t listed = 0;
+
+			for (uint32_t i = 0; i < h->set.count; i++)
+				for (struct batch *b =
+					     h->set.partitions[i].table.oldest;
+				     b; b = b->newer)
+					if (submission.id == b->id)
+						listed = b->listed_count;
+			return listed == 4;
+		});
+		if (c.drop_route)
+			host->configure(4);
+		ASSERT_TRUE(host->read_all(submission, &answer));
+		for (const ReadResult &result : answer.results)
+			EXPECT_EQ("dead_letter", result.state);
+		for (auto &engine : engines_)
+			for (const ServerSaw &saw : engine->seen)
+				runs[saw.id]++;
+		for (auto &run : runs)
+			EXPECT_LE(run.second, c.most_runs) << run.first;
+		kill(host);
+		engines_.clear();
+	}
+}
+
+// Load pattern: an engine that is down looks empty, so that it draws all
+// items that wait; it must be asked only now and then.
+TEST_F(Batches, AskAnEngineThatIsDownRarely)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+
+	submission.groups = 10;
+	submission.group_size = 4;
+	add_engine("down", stream());
+	engines_.clear(); /* the entry stays */
+	add_engine("up", stream(20, 10));
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(host->read_all(submission, &answer, 20000));
+	expect_whole(submission, answer, 20);
+	/* One burst into its slots, then single tries at growing pauses. */
+	EXPECT_LE(ended(host, "not_run"), 12);
+}
+
+TEST_F(Batches, LeaveAnEngineThatLeavesAndStopWhenEnded)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+
+	add_engine("first", stream(1000, 5));
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(loop_.run_until([&] { return engines_[0]->running == 4; }));
+	add_engine("second", stream(1000, 5));
+	engines_[0]->join(&host->fleet, "s", "m", 1, true);
+	ASSERT_TRUE(loop_.run_until([&] { return engines_[0]->running == 0; },
+				    400));
+	ASSERT_TRUE(loop_.run_until([&] { return engines_[1]->running == 4; }));
+	for (const ServerSaw &saw : engines_[1]->seen)
+		EXPECT_NE("", saw.last_event);
+	EXPECT_EQ(200, host->end(submission.id));
+	EXPECT_TRUE(loop_.run_until([&] { return engines_[1]->running == 0; },
+				    400));
+}
+
+// An engine becomes several times slower than the others.
+TEST_F(Batches, MoveLongItemsAwayFromASlowEngine)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+
+	submission.groups = 4;
+	submission.length_hint = 60;
+	add_engine("slow", stream(30, 60));
+	add_engine("fast", stream(30, 12), 1, 12);
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 30);
+	EXPECT_GT(engines_[0]->abandoned, 0);
+	EXPECT_GT(counter_value(counter_get(&host->counters,
+					    "item_runs_moved_total")),
+		  0);
+}
+
+// Items that come again with another batch, as far as weights allow.
+TEST_F(Batches, ReuseTextsOfGroupsThatComeAgain)
+{
+	BatchHost *host = add_host("a");
+	Submission first, second;
+	ReadAnswer answer;
+
+	first.groups = second.groups = 1;
+	first.item_prefix = second.item_prefix = "shared";
+	second.id = "batch2";
+	second.step = 1;
+	add_engine("only", stream(8, 20));
+	ASSERT_EQ(202, host->submit(first));
+	ASSERT_TRUE(loop_.run_until([&] {
+		const struct item_run *run = host->runner.run_owner.runs;
+
+		return run && run->item->made.last_event >= 3;
+	}));
+	EXPECT_EQ(200, host->end(first.id));
+	ASSERT_EQ(202, host->submit(second));
+	ASSERT_TRUE(host->read_all(second, &answer));
+	expect_whole(second, answer, 8);
+	EXPECT_EQ(1u, std::count_if(engines_[0]->seen.begin(),
+				    engines_[0]->seen.end(),
+				    [](const ServerSaw &saw) {
+					    return saw.last_event >= "3";
+				    }) > 0);
+}
+
+// A graceful stop hands texts over; after a kill they are made anew.
+TEST_F(Batches, GoOnAtAnotherHost)
+{
+	for (bool graceful : { true, false }) {
+		SCOPED_TRACE(graceful ? "stopped" : "killed");
+		std::string name = graceful ? "g" : "k";
+		BatchHost *first = add_host(name + "1");
+		BatchHost *second = add_host(name + "2");
+		Submission submission;
+		ReadAnswer answer;
+
+		submission.id = "batch-" + name;
+		add_engine("only", stream(40, 25));
+		ASSERT_EQ(202, first->submit(submission));
+		ASSERT_TRUE(loop_.run_until([&] {
+			const struct item_run *run =
+				first->runner.run_owner.runs;
+
+			return run && run->item->made.last_event >= 4;
+		}));
+		if (graceful)
+			first->leave();
+		kill(first);
+		ASSERT_TRUE(second->read_all(submission, &answer, 12000));
+		expect_whole(submission, answer, 40);
+		EXPECT_EQ(graceful,
+			  std::any_of(engines_[0]->seen.begin(),
+				      engines_[0]->seen.end(),
+				      [](const ServerSaw &saw) {
+					      return !saw.last_event.empty();
+				      }));
+		kill(second);
+		engines_.clear();
+	}
+}
+
+// The same submission at two hosts, whichever sees the other's first.
+TEST_F(Batches, AreAcceptedOnceAtTwoHosts)
+{
+	BatchHost *first = add_host("a");
+	BatchHost *second = add_host("b");
+	Submission submission;
+	ReadAnswer at_first, at_second;
+
+	add_engine("only", stream());
+	ASSERT_EQ(202, first->submit(submission));
+	ASSERT_EQ(202, second->submit(submission));
+	ASSERT_TRUE(second->read_all(submission, &at_second));
+	ASSERT_TRUE(first->read_all(submission, &at_first));
+	expect_whole(submission, at_first, 4);
+	for (size_t i = 0; i < 4; i++)
+		EXPECT_EQ(at_first.results[i].id, at_second.results[i].id);
+	EXPECT_EQ(4u, engines_[0]->seen.size());
+}
+
+namespace
+{
+
+struct StoreCase {
+	const char *name;
+	Fault fault; // of appends, from the first one on
+	int calls; // so many
+};
+
+} // namespace
+
+// "503: not run" stays true, and a 202 is kept, whatever the store does.
+TEST_F(Batches, TellTheTruthOfTheStore)
+{
+	const StoreCase cases[] = {
+		{ "sound", Fault::NONE, 0 },
+		{ "the first append is refused", Fault::REFUSED, 1 },
+		{ "two are refused", Fault::REFUSED, 2 },
+		{ "all are refused", Fault::REFUSED, 1000 },
+		{ "the first answer is lost", Fault::LOST, 1 },
+		{ "the second answer is lost", Fault::LOST, 2 },
+		{ "the first is carried out late", Fault::LATE, 1 },
+		{ "the first two are carried out late", Fault::LATE, 2 },
+		{ "the first gets no answer", Fault::SILENT, 1 },
+		{ "none gets an answer", Fault::SILENT, 1000 },
+	};
+
+	for (const StoreCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		BatchHost *host = add_host("a", 1 + (uint64_t)(&c - cases));
+		Submission submission;
+		ReadAnswer answer;
+		int left = c.calls;
+		int status;
+
+		submission.id = "b" + std::to_string(&c - cases);
+		add_engine("only", stream());
+		topics_.faults = [&](const std::string &kind,
+				     const std::string &topic) {
+			if (kind != "append" ||
+			    (topic != "batch" && topic != "text") || left <= 0)
+				return Fault::NONE;
+			left--;
+			return c.fault;
+		};
+		status = host->submit(submission);
+		topics_.faults = nullptr;
+		topics_.carry_out_late();
+		EXPECT_TRUE(status == 202 || status == 503 || status == 504)
+			<< status;
+		if (!c.calls) {
+			EXPECT_EQ(202, status);
+		}
+		if (status == 202) {
+			EXPECT_TRUE(host->read_all(submission, &answer));
+			expect_whole(submission, answer, 4);
+		} else if (status == 503) {
+			loop_.run_for(300);
+			EXPECT_EQ(0u, engines_[0]->seen.size());
+			EXPECT_EQ(404, host->read(submission.id).status);
+		}
+		kill(host);
+		engines_.clear();
+	}
+}
+
+// Reads say 503 while the store cannot be read, never 404 or less results.
+TEST_F(Batches, SayTheyCannotBeSureWhileTheStoreIsAway)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+
+	add_engine("only", stream());
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	for (Fault fault : { Fault::REFUSED, Fault::SILENT, Fault::LOST }) {
+		topics_.faults = [&](const std::string &, const std::string &) {
+			return fault;
+		};
+		answer = host->read(submission.id);
+		EXPECT_TRUE(answer.status == 503 || answer.status == 200);
+		if (answer.status == 200) {
+			EXPECT_EQ(4u, answer.results.size());
+		}
+		EXPECT_EQ(503, host->read("unknown").status);
+		topics_.faults = nullptr;
+	}
+	ASSERT_TRUE(host->read_all(submission, &answer));
+}
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -133,33 +133,12 @@
 	// The whole answer to a request; what came, if the connection ended.
 	std::string ask(const std::string &bytes)
 	{
-		RawCaller caller(net_server_port(&server_));
-
-		caller.send(bytes);
-		EXPECT_TRUE(loop_.run_until([&] {
-			return is_whole(caller.received()) ||
-			       caller.is_closed();
-		}));
-		return caller.received();
-	}
-
-	static bool is_whole(const std::string &text)
-	{
-		size_t end = text.find("\r\n\r\n");
-		size_t length = text.find("Content-Length: ");
-
-		if (end == std::string::npos)
-			return false;
-		if (length != std::string::npos && length < end)
-			return text.size() >=
-			       end + 4 +
-				       strtoul(&text[length + 16], nullptr, 10);
-		return text.find("\r\n0\r\n\r\n") != std::string::npos;
+		return http_ask(&loop_, net_server_port(&server_), bytes);
 	}
 
 	static int status(const std::string &answer)
 	{
-		return answer.size() > 12 ? atoi(&answer[9]) : 0;
+		return http_status(answer);
 	}
 
 	int64_t asked()
@@ -487,7 +466,7 @@
 					"\n\n") != std::string::npos)
 				got.push_back(i);
 		EXPECT_EQ(c.events, got);
-		EXPECT_EQ(c.whole, is_whole(answer));
+		EXPECT_EQ(c.whole, http_is_whole(answer));
 		EXPECT_EQ(200, status(answer));
 		ASSERT_FALSE(saw.empty());
 		EXPECT_EQ(c.resumed_after,
--- a/t/test-policy-entry.cc
+++ b/t/test-policy-entry.cc
@@ -11,6 +11,8 @@
 #include "base/clock.h"
 #include "policy/address_answer.h"
 #include "policy/attempt_plan.h"
+#include "policy/engine_pace.h"
+#include "policy/item_move.h"
 #include "policy/item_order.h"
 #include "policy/item_place.h"
 #include "policy/partition_owner.h"
@@ -387,6 +389,14 @@
 	return e;
 }
 
+struct place_engine failed(uint32_t running)
+{
+	struct place_engine e = engine(running);
+
+	e.failed_it = 1;
+	return e;
+}
+
 struct PlaceCase {
 	const char *name;
 	std::vector<struct place_engine> engines;
@@ -408,6 +418,10 @@
 		{ "not an unusable one",
 		  { engine(0, 1, 1e9, 0), engine(9) },
 		  1 },
+		{ "not where it failed", { failed(0), engine(9) }, 1 },
+		{ "where it failed, if there is no other",
+		  { failed(0), engine(0, 1, 1e9, 0) },
+		  0 },
 	};
 	struct place_item item = {};
 
@@ -424,6 +438,90 @@
 namespace
 {
 
+// Paces of an engine with `running` runs whose events come every
+// `interval_ms`, after `events` of them.
+struct engine_pace pace(int events, double interval_ms, uint32_t running = 1,
+			int64_t *now_ns = nullptr)
+{
+	struct engine_pace p = {};
+	int64_t at = 100 * NS_PER_S;
+
+	for (int i = 0; i < events; i++) {
+		at += (int64_t)(interval_ms * NS_PER_MS / running);
+		engine_pace_add(&p, interval_ms * NS_PER_MS, running, at);
+	}
+	if (now_ns)
+		*now_ns = at;
+	return p;
+}
+
+} // namespace
+
+TEST(EnginePace, SeesASlowEngineAndNotAPauseOrACrowd)
+{
+	int64_t now = 0;
+	struct engine_pace p = pace(20, 30, 1, &now);
+	double typical = 30.0 * NS_PER_MS;
+
+	EXPECT_NEAR(1, engine_pace_speed(&p, typical, now), 0.01);
+	/* A pause of a second is no pace. */
+	engine_pace_add(&p, 1000.0 * NS_PER_MS, 1, now);
+	EXPECT_NEAR(1, engine_pace_speed(&p, typical, now), 0.01);
+	/* Four times slower from now on: known after a second. */
+	for (int i = 0; i < 8; i++)
+		engine_pace_add(&p, 120.0 * NS_PER_MS, 1, now);
+	EXPECT_LT(engine_pace_speed(&p, typical, now), 0.4);
+	/* A pace that is old says nothing. */
+	EXPECT_EQ(1, engine_pace_speed(&p, typical, now + 4 * NS_PER_S));
+	/* Many runs make steps longer; that is no slowness. */
+	p = pace(20, 30 * place_step_time(12), 12, &now);
+	EXPECT_NEAR(1, engine_pace_speed(&p, typical, now), 0.01);
+	EXPECT_EQ(1, engine_pace_speed(&p, 0, now));
+}
+
+TEST(EnginePace, TakesTheLowerMedianForTypical)
+{
+	double none[1], two[] = { 40, 10 }, five[] = { 9, 90, 10, 11, 80 };
+
+	EXPECT_EQ(0, engine_pace_typical(none, 0));
+	EXPECT_EQ(10, engine_pace_typical(two, 2));
+	EXPECT_EQ(11, engine_pace_typical(five, 5));
+}
+
+namespace
+{
+
+struct MoveCase {
+	const char *name;
+	double tokens_left, here_ms, there_ms;
+	bool moves;
+};
+
+} // namespace
+
+TEST(ItemMove, PaysForLongItemsOnly)
+{
+	const MoveCase cases[] = {
+		{ "a long item at a slow engine", 1000, 3, 1, true },
+		{ "a long item at a crowded engine", 2000, 1.4, 1, true },
+		{ "a short item at a slow engine", 50, 3, 1, false },
+		{ "a little faster", 5000, 1.1, 1, false },
+		{ "slower", 5000, 1, 1.4, false },
+		{ "nothing left", 0, 3, 1, false },
+	};
+
+	for (const MoveCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct item_move move = { c.tokens_left, c.here_ms * NS_PER_MS,
+					  c.there_ms * NS_PER_MS };
+
+		EXPECT_EQ(c.moves, item_move_gain_ns(&move) > 0);
+	}
+}
+
+namespace
+{
+
 struct plan_model model(uint64_t named, uint64_t lag = 1, double tokens = 100)
 {
 	struct plan_model m = {};
--- a/t/test-policy-health.cc
+++ b/t/test-policy-health.cc
@@ -45,7 +45,7 @@
 
 /*
  * Steps: f failure, s success, b begin (must be let through), x begin (must
- * be held back), + a long time passes, - a short time passes.
+ * be held back), w withdrawn, + a long time passes, - a short time passes.
  */
 struct circuit_case {
 	const char *what;
@@ -65,6 +65,10 @@
 	{ "longer the second time", "fff+bf-x", CIRCUIT_OPEN },
 	{ "a lost probe is replaced", "fff+b+bx", CIRCUIT_HALF_OPEN },
 	{ "closed circuits need three again", "fff+bsff", CIRCUIT_CLOSED },
+	{ "a probe that was withdrawn makes room for another", "fff+bxwbx",
+	  CIRCUIT_HALF_OPEN },
+	{ "a request that was withdrawn changes nothing else", "ffw+b",
+	  CIRCUIT_CLOSED },
 };
 
 TEST(Circuit, States)
@@ -81,6 +85,8 @@
 				circuit_failed(&breaker, &random, now);
 			else if (*step == 's')
 				circuit_succeeded(&breaker);
+			else if (*step == 'w')
+				circuit_withdrawn(&breaker, now);
 			else if (*step == '+')
 				now += 60 * NS_PER_S;
 			else if (*step == '-')
