policy: load weights first for the model that has fewest engines

The next load goes to the model with the fewest engines, fit or loading, for the tokens of its steps; loads that run count when loading ahead is decided.

--- a/policy/version_plan.c
+++ b/policy/version_plan.c
@@ -166,49 +166,91 @@
 	       engine->versions[model] < version;
 }
 
-/* How many of the model's engines are fit, or loading and soon so. */
-static uint32_t count_fit(const struct plan_model *model, uint32_t index,
-			  const struct plan_engine *engines, uint32_t count,
-			  uint64_t oldest)
+/* How many of the model's engines have weights that are new enough. */
+static uint32_t count_fit(uint32_t index, const struct plan_engine *engines,
+			  uint32_t count, uint64_t oldest)
 {
 	uint32_t fit = 0;
 
-	(void)model;
 	for (uint32_t i = 0; i < count; i++)
-		if (engines[i].usable && engines[i].share == (int32_t)index &&
+		if (engines[i].usable && !engines[i].is_loading &&
+		    engines[i].share == (int32_t)index &&
 		    engines[i].versions[index] >= oldest)
 			fit++;
 	return fit;
 }
 
-/* Engines that are too old for the newest step; one model after the other. */
+/* Engines of the model's share that are loading, fit or not. */
+static uint32_t count_share_loading(uint32_t model,
+				    const struct plan_engine *engines,
+				    uint32_t count)
+{
+	uint32_t loading = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		loading += engines[i].is_loading &&
+			   engines[i].share == (int32_t)model;
+	return loading;
+}
+
+/*
+ * Of the models with an engine to load, the one whose steps have the fewest
+ * engines for their tokens; -1 if there is none.
+ */
+static int32_t hungriest(const struct plan_model *models, uint32_t count,
+			 const uint32_t *next, uint32_t engine_count,
+			 const uint32_t *fit)
+{
+	int32_t best = -1;
+
+	for (uint32_t m = 0; m < count; m++) {
+		if (!models[m].is_active || next[m] == engine_count)
+			continue;
+		if (best < 0 ||
+		    fit[m] * models[best].tokens < fit[best] * models[m].tokens)
+			best = (int32_t)m;
+	}
+	return best;
+}
+
+static uint32_t next_to_load(const struct plan_engine *engines, uint32_t count,
+			     uint32_t from, uint32_t model, uint64_t oldest)
+{
+	while (from < count && !can_load(&engines[from], model, oldest))
+		from++;
+	return from;
+}
+
+/* Engines that are too old for the newest step of their model. */
 static uint32_t add_urgent(const struct plan_model *models,
 			   uint32_t model_count,
 			   const struct plan_engine *engines,
 			   uint32_t engine_count, uint32_t room,
 			   struct plan_load *out)
 {
-	uint32_t next[PLAN_MODELS_MAX] = { 0 };
+	uint32_t next[PLAN_MODELS_MAX];
+	uint32_t fit[PLAN_MODELS_MAX];
 	uint32_t count = 0;
-	int added = 1;
 
-	while (added && count < room) {
-		added = 0;
-		for (uint32_t m = 0; m < model_count && count < room; m++) {
-			uint64_t oldest = oldest_fit(&models[m]);
+	for (uint32_t m = 0; m < model_count; m++) {
+		uint64_t oldest = oldest_fit(&models[m]);
 
-			if (!models[m].is_active)
-				continue;
-			while (next[m] < engine_count &&
-			       !can_load(&engines[next[m]], m, oldest))
-				next[m]++;
-			if (next[m] == engine_count)
-				continue;
-			out[count].engine = next[m]++;
-			out[count].model = m;
-			count++;
-			added = 1;
-		}
+		next[m] = next_to_load(engines, engine_count, 0, m, oldest);
+		fit[m] = count_fit(m, engines, engine_count, oldest) +
+			 count_share_loading(m, engines, engine_count);
+	}
+	while (count < room) {
+		int32_t m =
+			hungriest(models, model_count, next, engine_count, fit);
+
+		if (m < 0)
+			break;
+		out[count].engine = next[m];
+		out[count].model = (uint32_t)m;
+		count++;
+		fit[m]++;
+		next[m] = next_to_load(engines, engine_count, next[m] + 1,
+				       (uint32_t)m, oldest_fit(&models[m]));
 	}
 	return count;
 }
@@ -218,8 +260,9 @@
 		       const struct plan_engine *engines, uint32_t count)
 {
 	uint64_t oldest = oldest_fit(model);
-	uint32_t fit = count_fit(model, index, engines, count, oldest);
-	uint32_t fit_next = count_fit(model, index, engines, count, oldest + 1);
+	uint32_t fit = count_fit(index, engines, count, oldest);
+	uint32_t fit_next = count_fit(index, engines, count, oldest + 1) +
+			    count_share_loading(index, engines, count);
 
 	return model->is_active && model->lag && fit > 1 &&
 	       fit_next < (fit + 1) / 2;
