duty: order cheap engines for the batches that are open

Steps wait for their longest items, whose tokens come slower the more runs share an engine, and on larger sites there are fewer slots than items. Engines that may be taken away cost a fifth and start with the newest weights, yet nobody ordered any.

The holder of the duty orders them on top of the servers that are there, by policy/server_count.h: for the items of the newest batches, one engine for 0.7 of its slots. A data centre that has none is asked again at growing pauses, without giving up those that are there; engines that are lost are ordered anew.

Tests of all duties, on a fake clock with faults of store and platform, among them 30 seeds of rivals for the lease. They found that an engine that refused an order was not asked again until something else happened, and a timer left behind by version_duty_finish(). Windows and ages are taken from the clock that tests can move, and a claim whose writer's clock is ahead no longer makes its owner live on.

--- a/base/clock.c
+++ b/base/clock.c
@@ -11,8 +11,15 @@
 	return ts.tv_sec * NS_PER_S + ts.tv_nsec;
 }
 
+static int64_t system_wall_ms(struct clock *clock)
+{
+	(void)clock;
+	return wall_now_ms();
+}
+
 static const struct clock_vtable system_clock_vtable = {
 	.now_ns = system_now_ns,
+	.wall_ms = system_wall_ms,
 };
 
 void system_clock_init(struct clock *clock)
@@ -27,14 +34,23 @@
 	return __atomic_load_n(&fake->now_ns, __ATOMIC_ACQUIRE);
 }
 
+static int64_t fake_wall_ms(struct clock *clock)
+{
+	struct fake_clock *fake = (struct fake_clock *)clock;
+
+	return fake_now_ns(clock) / NS_PER_MS + fake->wall_ahead_ms;
+}
+
 static const struct clock_vtable fake_clock_vtable = {
 	.now_ns = fake_now_ns,
+	.wall_ms = fake_wall_ms,
 };
 
 void fake_clock_init(struct fake_clock *clock, int64_t now_ns)
 {
 	clock->base.vt = &fake_clock_vtable;
 	clock->now_ns = now_ns;
+	clock->wall_ahead_ms = 0;
 }
 
 void fake_clock_advance(struct fake_clock *clock, int64_t by_ns)
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -287,7 +287,8 @@
 	struct batch_acceptance *acceptance = &submission->acceptance;
 
 	acceptance->batch = submission->batch;
-	acceptance->accepted_ms = wall_now_ms();
+	acceptance->accepted_ms =
+		clock_wall_ms(&submission->api->reactor->clock);
 	acceptance->team = submission->team;
 	acceptance->host = submission->host;
 	acceptance->path = submission->path;
--- a/batch/batch_table.c
+++ b/batch/batch_table.c
@@ -139,7 +139,7 @@
 /* Of rivals that saw the same claim, the first one in the log wins. */
 static void apply_claim(struct batch_table *table,
 			const Currant__Topic__PartitionClaim *claim,
-			uint64_t offset)
+			uint64_t offset, int64_t now_ns)
 {
 	if (claim->replaces != table->claim)
 		return;
@@ -149,6 +149,7 @@
 	table->owner_incarnation = claim->incarnation;
 	table->claim = offset + 1;
 	table->claimed_ms = claim->claimed_ms;
+	table->claim_read_ns = now_ns;
 	for (struct batch_table_listener *l = table->listeners; l; l = l->next)
 		if (l->claimed)
 			l->claimed(l);
@@ -184,7 +185,7 @@
 		apply_end(table, record->end);
 		return 0;
 	case CURRANT__TOPIC__BATCH_RECORD__KIND_CLAIM:
-		apply_claim(table, record->claim, offset);
+		apply_claim(table, record->claim, offset, now_ns);
 		return 0;
 	case CURRANT__TOPIC__BATCH_RECORD__KIND_PROGRESS:
 		return apply_progress(table, record);
--- a/batch/batch_table.h
+++ b/batch/batch_table.h
@@ -42,6 +42,7 @@
 	uint64_t owner_incarnation;
 	uint64_t claim; /* offset of the newest claim, and one; 0: none */
 	int64_t claimed_ms; /* wall clock of who wrote it */
+	int64_t claim_read_ns; /* when this daemon read it */
 	uint64_t malformed; /* records that could not be read */
 };
 
--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -45,9 +45,19 @@
 	       table->owner_incarnation == own->incarnation;
 }
 
-static int64_t claim_age_ms(const struct batch_table *table)
+/*
+ * By the writer's clock, or by when it was read if that is later: a clock
+ * that is ahead must not make a dead owner live on.
+ */
+static int64_t claim_age_ms(const struct kept_partition *kept)
 {
-	return wall_now_ms() - table->claimed_ms;
+	const struct batch_table *table = &kept->partition->table;
+	struct reactor *reactor = kept->keeper->reactor;
+	int64_t age_ms = clock_wall_ms(&reactor->clock) - table->claimed_ms;
+	int64_t known_ms =
+		(reactor_now_ns(reactor) - table->claim_read_ns) / NS_PER_MS;
+
+	return age_ms > known_ms ? age_ms : known_ms;
 }
 
 static int owns(const struct entry_host *host,
@@ -69,7 +79,7 @@
 	int64_t now = now_ns(keeper);
 
 	if (table->owner[0] && strcmp(table->owner, own_host(keeper)->name) &&
-	    claim_age_ms(table) < CLAIM_SHOWS_LIFE_MS)
+	    claim_age_ms(kept) < CLAIM_SHOWS_LIFE_MS)
 		return 1;
 	for (const struct entry_host *h = keeper->discovery->hosts.first; h;
 	     h = h->next)
@@ -141,7 +151,7 @@
 	record_text(&record, "owner", table->owner);
 	record_int(&record, "claim", (int64_t)table->claim);
 	record_int(&record, "claim_age_ms",
-		   table->claim ? claim_age_ms(table) : -1);
+		   table->claim ? claim_age_ms(kept) : -1);
 	record_int(&record, "next", (int64_t)kept->partition->follower.next);
 	record_text(&record, "reason", reason);
 	record_end(&record);
@@ -188,7 +198,7 @@
 	claim.incarnation = own->incarnation;
 	claim.release = release;
 	claim.replaces = kept->partition->table.claim;
-	claim.claimed_ms = wall_now_ms();
+	claim.claimed_ms = clock_wall_ms(&kept->keeper->reactor->clock);
 	record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_CLAIM;
 	record.claim = &claim;
 	kept->claim =
@@ -241,7 +251,7 @@
 static void renew_if_due(struct kept_partition *kept)
 {
 	if (batch_runner_has(kept->keeper->runner, kept->partition) &&
-	    claim_age_ms(&kept->partition->table) > RENEW_MS)
+	    claim_age_ms(kept) > RENEW_MS)
 		write_claim(kept, 0);
 }
 
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -46,7 +46,8 @@
 /* Items that may be given up, since nobody waits for them that long. */
 static void check_batch(struct batch_runner *runner, struct run_batch *batch)
 {
-	int64_t age_ms = wall_now_ms() - batch->batch->accepted_ms;
+	int64_t age_ms = clock_wall_ms(&runner->reactor->clock) -
+			 batch->batch->accepted_ms;
 	int is_over = batch->batch->retention_ms &&
 		      age_ms > batch->batch->retention_ms;
 
--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -47,12 +47,14 @@
 /* The window that the wall clock stands in. */
 static uint64_t window_now(const struct usage_duty *duty)
 {
-	return (uint64_t)(wall_now_ms() / 1000) / duty->window_s;
+	return (uint64_t)(clock_wall_ms(duty->timers->clock) / 1000) /
+	       duty->window_s;
 }
 
 static int64_t window_age_ms(const struct usage_duty *duty, uint64_t window)
 {
-	return wall_now_ms() - (int64_t)((window + 1) * duty->window_s) * 1000;
+	return clock_wall_ms(duty->timers->clock) -
+	       (int64_t)((window + 1) * duty->window_s) * 1000;
 }
 
 static int close_is_due(const struct usage_duty *duty)
--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -214,6 +214,14 @@
 	engine->duty->port->vt->ask_engine(engine->duty->port, report);
 }
 
+static void on_retry(void *arg, int64_t at_ns)
+{
+	struct duty_engine *engine = arg;
+
+	(void)at_ns;
+	plan_soon(engine->duty);
+}
+
 static void on_ordered(struct duty_call *call)
 {
 	struct duty_engine *engine = call->arg;
@@ -246,7 +254,8 @@
 	}
 	counter_add(duty->failed_orders, 1);
 	engine->not_before_ns = now_ns(duty) + REFUSED_NS;
-	plan_soon(duty);
+	timer_subscribe_once(duty->timers, &engine->timer, REFUSED_NS, on_retry,
+			     engine);
 }
 
 static const struct weight_need *find_need(const struct version_duty *duty,
@@ -373,9 +382,14 @@
 	record_end(&record);
 }
 
-static uint32_t loads_at_once(uint32_t engine_count)
+static uint32_t loads_at_once(struct duty_engine *const *engines,
+			      uint32_t engine_count)
 {
-	uint32_t at_once = engine_count / AT_ONCE_DENOMINATOR;
+	uint32_t at_once = 0;
+
+	for (uint32_t i = 0; i < engine_count; i++)
+		at_once += !engines[i]->server->entry.cheap;
+	at_once /= AT_ONCE_DENOMINATOR;
 
 	return at_once < AT_ONCE_MIN ? AT_ONCE_MIN : at_once;
 }
@@ -397,7 +411,7 @@
 		if (views[i].usable)
 			note_share(duty, engines[i], views[i].share);
 	load_count = version_plan_loads(models, duty->need_count, views, count,
-					loads_at_once(count), loads);
+					loads_at_once(engines, count), loads);
 	for (uint32_t i = 0; i < load_count; i++)
 		send_order(engines[loads[i].engine],
 			   duty->needs[loads[i].model].model);
@@ -542,6 +556,7 @@
 {
 	struct duty_engine *engine = duty->engines;
 
+	duty->active = 0; /* the fleet may still tell of its end */
 	timer_unsubscribe(duty->timers, &duty->soon);
 	while (engine) {
 		struct duty_engine *next = engine->next;
--- a/duty/weight_board.c
+++ b/duty/weight_board.c
@@ -32,6 +32,7 @@
 	need.min_version = message->min_version;
 	need.named_version = message->named_version;
 	need.tokens = message->tokens;
+	need.items = message->items;
 	need.single_version = message->single_version;
 	if (!copy_text(need.model, sizeof(need.model), message->model) &&
 	    !copy_text(need.service, sizeof(need.service), message->service))
@@ -154,6 +155,7 @@
 	message.min_version = need->min_version;
 	message.named_version = need->named_version;
 	message.tokens = need->tokens;
+	message.items = need->items;
 	message.single_version = need->single_version;
 	message.host = (char *)host;
 	strbuf_init(&value);
--- a/duty/weight_board.h
+++ b/duty/weight_board.h
@@ -17,6 +17,7 @@
 	uint64_t min_version;
 	uint64_t named_version;
 	uint64_t tokens;
+	uint32_t items;
 	int single_version;
 };
 
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -371,6 +371,7 @@
 		.named_version =
 			named_versions_get(&daemon->named, batch->model),
 		.tokens = tokens,
+		.items = batch->item_count,
 		.single_version = batch->single_version,
 	};
 
@@ -415,6 +416,11 @@
 			  &daemon->weight_board, &daemon->duty_calls.base,
 			  &daemon->fleet, &daemon->config, &daemon->named,
 			  settings->name, &daemon->log, &daemon->counters);
+	server_duty_init(&daemon->server_duty, timers, &daemon->duty_lease,
+			 &daemon->weight_board, &daemon->duty_calls.base,
+			 &daemon->fleet, &daemon->config, settings->name,
+			 settings->orders_servers, &daemon->log,
+			 &daemon->counters);
 }
 
 static void on_hosts_changed(struct discovery_listener *listener)
@@ -551,6 +557,7 @@
 	batch_api_finish(&daemon->batch_api);
 	batch_runner_finish(&daemon->batch_runner);
 	partition_keeper_finish(&daemon->partition_keeper);
+	server_duty_finish(&daemon->server_duty);
 	version_duty_finish(&daemon->version_duty);
 	weight_board_finish(&daemon->weight_board);
 	usage_duty_finish(&daemon->usage_duty);
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -5,6 +5,7 @@
 #include "batch/partition_keeper.h"
 #include "discovery/discovery.h"
 #include "duty/usage_counter.h"
+#include "duty/server_duty.h"
 #include "duty/usage_duty.h"
 #include "duty/version_duty.h"
 #include "entry/caller_port.h"
@@ -52,6 +53,7 @@
 	struct weight_board_listener load_listener;
 	struct batch_need_listener need_listener;
 	struct version_duty version_duty;
+	struct server_duty server_duty;
 	struct caller_port caller_port;
 	struct service_port service_port;
 	struct net_server callers;
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -210,7 +210,7 @@
 	try->forward = forward;
 	try->server = fleet_server_hold(server);
 	try->began_ns = reactor_now_ns(forwarder->reactor);
-	try->began_wall_ms = wall_now_ms();
+	try->began_wall_ms = clock_wall_ms(&forwarder->reactor->clock);
 	try->body_bytes = -1;
 	strbuf_init(&try->head);
 	strbuf_init(&try->fields);
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -1107,7 +1107,7 @@
   (ProtobufCMessageInit) currant__topic__duty_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__weight_need__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__topic__weight_need__field_descriptors[8] =
 {
   {
     "model",
@@ -1193,9 +1193,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "items",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__WeightNeed, items),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__weight_need__field_indices_by_name[] = {
   6,   /* field[6] = host */
+  7,   /* field[7] = items */
   1,   /* field[1] = min_version */
   0,   /* field[0] = model */
   2,   /* field[2] = named_version */
@@ -1206,7 +1219,7 @@
 static const ProtobufCIntRange currant__topic__weight_need__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__topic__weight_need__descriptor =
 {
@@ -1216,7 +1229,7 @@
   "Currant__Topic__WeightNeed",
   "currant.topic",
   sizeof(Currant__Topic__WeightNeed),
-  7,
+  8,
   currant__topic__weight_need__field_descriptors,
   currant__topic__weight_need__field_indices_by_name,
   1,  currant__topic__weight_need__number_ranges,
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -137,10 +137,14 @@
   protobuf_c_boolean single_version;
   char *service;
   char *host;
+  /*
+   * of that batch
+   */
+  uint32_t items;
 };
 #define CURRANT__TOPIC__WEIGHT_NEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__weight_need__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- /dev/null
+++ b/t/lib-duty-host.h
@@ -0,0 +1,123 @@
+#ifndef T_LIB_DUTY_HOST_H
+#define T_LIB_DUTY_HOST_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lib-fake-topics.h"
+
+extern "C" {
+#include "duty/server_duty.h"
+#include "duty/usage_counter.h"
+#include "duty/usage_duty.h"
+#include "duty/version_duty.h"
+}
+
+// A call that reached the platform or an engine.
+struct DutyCall {
+	std::string kind; // "usage", "servers", "weights" or "ask"
+	std::string host; // that sent it
+	std::string holder;
+	uint64_t fence;
+	int64_t at_ns;
+	uint64_t window; // usage
+	std::map<std::string, uint64_t> counts;
+	std::string service, data_centre; // servers
+	uint32_t count;
+	std::string engine, model; // weights, ask
+	uint64_t version;
+};
+
+enum class DutyFault { NONE, REFUSED, CONFLICT, LOST, SILENT, LATE };
+
+// The platform's side of the duties, and model engines: it keeps what was
+// called, refuses lower fencing numbers, and loads weights.
+class FakePlatform
+{
+      public:
+	explicit FakePlatform(FakeTime *time);
+	~FakePlatform();
+
+	// The port of one host.
+	struct duty_port *port(const std::string &host);
+	void carry_out_late();
+
+	struct Engine {
+		std::map<std::string, uint64_t> versions;
+		uint64_t orders = 0;
+		uint64_t fence = 0;
+		int64_t busy_until_ns = 0;
+		std::string loading;
+		uint64_t to = 0;
+	};
+
+	std::function<DutyFault(const DutyCall &)> faults;
+	std::vector<DutyCall> calls;
+	std::map<std::string, Engine> engines;
+	int64_t load_ms = 900;
+	// Accepted figures by window; two different ones are a failure.
+	std::map<uint64_t, std::map<std::string, uint64_t>> reported;
+	std::map<std::string, uint32_t> ordered; // by data centre
+
+      private:
+	struct Port;
+	struct Pending;
+	struct Vtable;
+	friend struct Vtable;
+
+	void start(Port *port, struct duty_call *call, const DutyCall &saw);
+	enum duty_outcome carry_out(const DutyCall &saw,
+				    struct duty_call *call);
+	enum duty_outcome load(const DutyCall &saw, int64_t expected);
+	void settle(Engine *engine);
+	static void on_timer(void *arg, int64_t now_ns);
+
+	FakeTime *time_;
+	std::vector<std::unique_ptr<Port>> ports_;
+	std::vector<Pending *> pending_;
+	std::vector<std::function<void()>> late_;
+	std::map<std::string, uint64_t> fences_; // by subject
+};
+
+// What a daemon does of the duties.
+class DutyHost
+{
+      public:
+	DutyHost(FakeTime *time, FakeTopics *topics, FakePlatform *platform,
+		 const std::string &name, uint64_t incarnation,
+		 int64_t extra_wait_ms);
+	~DutyHost();
+
+	void want(bool wanted);
+	bool holds();
+	// Adds an engine to what this host knows.
+	void add_engine(const std::string &id, uint64_t version,
+			const std::string &data_centre = "dc",
+			bool cheap = false);
+	void name_version(const std::string &model, uint64_t version);
+	void say_need(const std::string &model, uint64_t min_version,
+		      uint32_t items = 10);
+	void count_run(const std::string &team);
+
+	std::string name;
+	struct duty_lease lease;
+	struct usage_counter counter;
+	struct usage_duty usage;
+	struct weight_board board;
+	struct version_duty versions;
+	struct server_duty servers;
+	struct fleet fleet;
+
+      private:
+	FakeTime *time_;
+	struct counter_set counters_;
+	struct config_holder config_;
+	struct named_versions named_;
+	int64_t extra_wait_ns_;
+	uint64_t offset_ = 0;
+};
+
+#endif
--- a/t/lib-peer.cc
+++ b/t/lib-peer.cc
@@ -33,7 +33,7 @@
 	       recv(fd, &byte, 1, MSG_DONTWAIT) <= 0;
 }
 
-const struct clock_vtable AtomicClock::vtable = { AtomicClock::now };
+const struct clock_vtable AtomicClock::vtable = { AtomicClock::now, nullptr };
 
 AtomicClock::AtomicClock(int64_t start_ns) : base{ &vtable }, now_ns(start_ns)
 {
--- /dev/null
+++ b/t/test-duties.cc
@@ -0,0 +1,420 @@
+// What one daemon at a time does for all: the lease, usage reports, loads of
+// weights and orders of servers, under faults of the store and the platform.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lib-duty-host.h"
+
+extern "C" {
+#include "base/rng.h"
+}
+
+namespace
+{
+
+class Duties : public ::testing::Test
+{
+      protected:
+	Duties() : topics_(&time_.timers), platform_(&time_)
+	{
+	}
+
+	DutyHost *add(const std::string &name, int64_t extra_wait_ms = 0)
+	{
+		hosts_.emplace_back(new DutyHost(&time_, &topics_, &platform_,
+						 name, ++incarnations_,
+						 extra_wait_ms));
+		return hosts_.back().get();
+	}
+
+	void kill(DutyHost *host)
+	{
+		hosts_.erase(std::find_if(
+			hosts_.begin(), hosts_.end(),
+			[host](auto &h) { return h.get() == host; }));
+	}
+
+	DutyHost *holder()
+	{
+		for (auto &host : hosts_)
+			if (host->holds())
+				return host.get();
+		return nullptr;
+	}
+
+	// Milliseconds until somebody holds the duty; -1 after `limit_ms`.
+	int64_t wait_holder(int64_t limit_ms = 10000)
+	{
+		for (int64_t ms = 0; ms <= limit_ms; ms += 10) {
+			if (holder())
+				return ms;
+			time_.run(10);
+		}
+		return -1;
+	}
+
+	int count(const std::string &kind)
+	{
+		return (int)std::count_if(
+			platform_.calls.begin(), platform_.calls.end(),
+			[&](const DutyCall &c) { return c.kind == kind; });
+	}
+
+	FakeTime time_;
+	FakeTopics topics_;
+	FakePlatform platform_;
+	uint64_t incarnations_ = 0;
+	std::vector<std::unique_ptr<DutyHost>> hosts_;
+};
+
+} // namespace
+
+TEST_F(Duties, PassOnSoonAfterAStopAndAfterTheLeaseAtAKill)
+{
+	DutyHost *first = add("a");
+	uint64_t fence;
+
+	add("b", 250);
+	add("c", 500);
+	ASSERT_GE(wait_holder(), 0);
+	EXPECT_EQ(first, holder());
+	time_.run(5000);
+	EXPECT_EQ(first, holder()) << "renewed";
+	fence = first->lease.fence;
+	duty_lease_release(&first->lease);
+	EXPECT_EQ(nullptr, holder());
+	EXPECT_LE(wait_holder(), 800);
+	EXPECT_EQ("b", holder()->name);
+	EXPECT_GT(holder()->lease.fence, fence);
+	fence = holder()->lease.fence;
+	kill(holder());
+	int64_t took_ms = wait_holder();
+
+	EXPECT_GE(took_ms, 1000) << "before the killed one's time was over";
+	EXPECT_LE(took_ms, 3500);
+	EXPECT_EQ("c", holder()->name);
+	EXPECT_GT(holder()->lease.fence, fence);
+}
+
+// Random faults of the store, kills and starts: never two holders, fencing
+// numbers that rise with each change of the holder.
+TEST_F(Duties, HaveOneHolderWhateverTheStoreDoes)
+{
+	for (uint64_t seed = 1; seed <= 30; seed++) {
+		SCOPED_TRACE(seed);
+		struct rng rng;
+		std::map<uint64_t, std::string> fences;
+		uint64_t last_fence = 0;
+		int held = 0;
+
+		rng_init(&rng, seed);
+		topics_.faults = [&](const std::string &kind,
+				     const std::string &) {
+			uint64_t draw = rng_below(&rng, 20);
+
+			if (draw == 0)
+				return Fault::LOST;
+			if (draw == 1 && kind == "append")
+				return Fault::LATE;
+			if (draw == 2)
+				return Fault::REFUSED;
+			return draw == 3 ? Fault::SILENT : Fault::NONE;
+		};
+		for (int i = 0; i < 4; i++)
+			add("h" + std::to_string(seed) + "-" +
+				    std::to_string(i),
+			    i * 100);
+		for (int step = 0; step < 3000; step++) {
+			int holders = 0;
+
+			time_.run(10);
+			if (!rng_below(&rng, 60))
+				topics_.carry_out_late();
+			if (hosts_.size() && !rng_below(&rng, 400)) {
+				std::string name = hosts_[0]->name;
+
+				kill(hosts_[rng_below(&rng, hosts_.size())]
+					     .get());
+				add(name + "'", 100);
+			}
+			for (auto &host : hosts_) {
+				if (!host->holds())
+					continue;
+				uint64_t fence = host->lease.fence;
+				std::string who =
+					host->name +
+					std::to_string(host->lease.incarnation);
+
+				holders++;
+				held++;
+				if (fences.count(fence)) {
+					EXPECT_EQ(fences[fence], who);
+				}
+				fences[fence] = who;
+				EXPECT_GE(fence, last_fence);
+				last_fence = fence;
+			}
+			ASSERT_LE(holders, 1) << "step " << step;
+		}
+		EXPECT_GT(held, 1000) << "the duty was hardly ever held";
+		hosts_.clear();
+		topics_.faults = nullptr;
+		topics_.carry_out_late();
+		time_.run(20);
+	}
+}
+
+TEST_F(Duties, ReportEachWindowOnceWithAllThatRan)
+{
+	DutyHost *first = add("a");
+	DutyHost *second = add("b", 250);
+	std::map<uint64_t, std::map<std::string, uint64_t>> ran;
+
+	ASSERT_GE(wait_holder(), 0);
+	for (int step = 0; step < 400; step++) {
+		uint64_t window =
+			(uint64_t)clock_wall_ms(&time_.clock.base) / 5000;
+
+		first->count_run("red");
+		ran[window]["red"]++;
+		if (step % 3 == 0) {
+			second->count_run("blue");
+			ran[window]["blue"]++;
+		}
+		time_.run(100);
+	}
+	time_.run(20000);
+	ASSERT_GE(platform_.reported.size(), 8u);
+	for (auto &window : platform_.reported)
+		if (ran.count(window.first)) {
+			EXPECT_EQ(ran[window.first], window.second)
+				<< window.first;
+		}
+}
+
+namespace
+{
+
+struct ReportCase {
+	const char *name;
+	DutyFault fault;
+	int calls; // that it strikes
+	bool kill; // the holder, a moment after its first report
+};
+
+} // namespace
+
+// Answers are lost or late, the holder dies: one figure a window, reported
+// in time; the platform's stand-in checks for equal figures.
+TEST_F(Duties, ReportTheSameFigureAgain)
+{
+	const ReportCase cases[] = {
+		{ "answers are lost", DutyFault::LOST, 3, false },
+		{ "refused", DutyFault::REFUSED, 3, false },
+		{ "carried out late", DutyFault::LATE, 2, false },
+		{ "no answer", DutyFault::SILENT, 2, false },
+		{ "the holder dies", DutyFault::NONE, 0, true },
+		{ "the holder dies before its answer came", DutyFault::LOST, 1,
+		  true },
+	};
+
+	for (const ReportCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		int left = c.calls;
+		bool struck = false;
+
+		platform_.reported.clear();
+		platform_.faults = [&](const DutyCall &call) {
+			if (call.kind != "usage")
+				return DutyFault::NONE;
+			struck = true;
+			return left-- > 0 ? c.fault : DutyFault::NONE;
+		};
+		add("a");
+		add("b", 250);
+		ASSERT_GE(wait_holder(), 0);
+		uint64_t since =
+			(uint64_t)clock_wall_ms(&time_.clock.base) / 5000 + 1;
+
+		for (int step = 0; step < 450; step++) {
+			hosts_.back()->count_run("red");
+			time_.run(100);
+			if (step % 10 == 9)
+				platform_.carry_out_late();
+			if (struck && c.kill && hosts_.size() == 2)
+				kill(hosts_[0].get());
+		}
+		uint64_t now =
+			(uint64_t)clock_wall_ms(&time_.clock.base) / 5000;
+
+		/* Due ten seconds after the window's end. */
+		for (uint64_t w = since; w + 4 <= now; w++)
+			EXPECT_TRUE(platform_.reported.count(w)) << w - since;
+		hosts_.clear();
+		platform_.faults = nullptr;
+	}
+}
+
+TEST_F(Duties, LoadNamedVersionsAndTellEverybody)
+{
+	DutyHost *host = add("a");
+
+	for (int i = 0; i < 4; i++) {
+		platform_.engines["e" + std::to_string(i)].versions = {
+			{ "m", 1 }, { "n", 1 }
+		};
+		host->add_engine("e" + std::to_string(i), 1);
+	}
+	ASSERT_GE(wait_holder(), 0);
+	for (uint64_t version = 2; version <= 6; version++) {
+		uint32_t fit = 0;
+
+		host->name_version("m", version);
+		host->say_need("m", version - 1);
+		time_.run(4000);
+		for (auto &engine : platform_.engines)
+			fit += engine.second.versions["m"] + 1 >= version;
+		EXPECT_GE(fit, 2u) << version;
+	}
+	EXPECT_LE(count("weights"), 16);
+	/* The engine that has the newest one is known at once. */
+	EXPECT_GT(topics_.partition("keyed.weights", 0).records.size(), 5u);
+}
+
+namespace
+{
+
+struct OrderCase {
+	const char *name;
+	DutyFault fault;
+};
+
+} // namespace
+
+TEST_F(Duties, LoadOnceWhateverBecomesOfAnOrder)
+{
+	const OrderCase cases[] = {
+		{ "sound", DutyFault::NONE },
+		{ "the answer is lost", DutyFault::LOST },
+		{ "refused", DutyFault::REFUSED },
+		{ "another order runs", DutyFault::CONFLICT },
+		{ "no answer", DutyFault::SILENT },
+		{ "carried out late", DutyFault::LATE },
+	};
+
+	for (const OrderCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		int left = 2;
+		std::string id = std::string("e-") + c.name;
+		DutyHost *host = add("a");
+
+		platform_.engines[id].versions = { { "m", 1 }, { "n", 1 } };
+		host->add_engine(id, 1);
+		platform_.faults = [&](const DutyCall &call) {
+			return call.kind == "weights" && left-- > 0
+				       ? c.fault
+				       : DutyFault::NONE;
+		};
+		ASSERT_GE(wait_holder(), 0);
+		host->name_version("m", 2);
+		host->say_need("m", 2);
+		time_.run(6000);
+		EXPECT_EQ(2u, platform_.engines[id].versions["m"]);
+		uint64_t orders = platform_.engines[id].orders;
+
+		/* An order that comes late has no effect any more. */
+		platform_.carry_out_late();
+		EXPECT_EQ(orders, platform_.engines[id].orders);
+		EXPECT_EQ(1u, orders);
+		hosts_.clear();
+		platform_.faults = nullptr;
+	}
+}
+
+TEST_F(Duties, OrderCheapEnginesForOpenRunsAndNoMore)
+{
+	DutyHost *host = add("a");
+
+	host->add_engine("e0", 1, "dc");
+	host->add_engine("e1", 1, "dc");
+	host->add_engine("e2", 1, "de");
+	ASSERT_GE(wait_holder(), 0);
+	time_.run(3000);
+	EXPECT_EQ(0, count("servers")) << "nothing is needed";
+	host->say_need("m", 1, 4);
+	time_.run(3000);
+	EXPECT_EQ(0, count("servers")) << "the present ones are enough";
+	host->say_need("m", 1, 12);
+	time_.run(3000);
+	EXPECT_GT(platform_.ordered["dc"] + platform_.ordered["de"], 0u);
+	host->say_need("m", 1, 1000);
+	time_.run(3000);
+	/* Four a data centre, less those that are there. */
+	EXPECT_EQ(2u, platform_.ordered["dc"]);
+	EXPECT_EQ(3u, platform_.ordered["de"]);
+	int orders = count("servers");
+
+	for (int i = 0; i < 5; i++)
+		host->add_engine("cheap" + std::to_string(i), 1,
+				 i < 2 ? "dc" : "de", true);
+	time_.run(8000);
+	EXPECT_EQ(orders, count("servers")) << "nothing changed";
+	fleet_drop(&host->fleet, "cheap4", 100, time_.now_ns());
+	time_.run(1000);
+	EXPECT_EQ(orders + 1, count("servers")) << "one was taken away";
+	time_.run(60000);
+	EXPECT_EQ(0u, platform_.ordered["dc"] + platform_.ordered["de"])
+		<< "no batches any more";
+}
+
+TEST_F(Duties, AskRarelyWhereNoEnginesAreToBeHad)
+{
+	DutyHost *host = add("a");
+	int conflicts = 0;
+
+	platform_.faults = [&](const DutyCall &call) {
+		if (call.kind != "servers" || call.data_centre != "dc")
+			return DutyFault::NONE;
+		conflicts++;
+		return DutyFault::CONFLICT;
+	};
+	ASSERT_GE(wait_holder(), 0);
+	for (int i = 0; i < 40; i++) {
+		host->say_need("m", 1, 1000);
+		time_.run(1000);
+	}
+	EXPECT_GE(conflicts, 2);
+	EXPECT_LE(conflicts, 6);
+	EXPECT_EQ(4u, platform_.ordered["de"]);
+	for (const DutyCall &call : platform_.calls)
+		if (call.kind == "servers") {
+			EXPECT_GT(call.count, 0u)
+				<< "those that are there would go";
+		}
+}
+
+// A new holder orders what it wants anew; the former one sends nothing.
+TEST_F(Duties, OrdersComeFromTheHolderAlone)
+{
+	DutyHost *first = add("a");
+	DutyHost *second = add("b", 250);
+
+	ASSERT_GE(wait_holder(), 0);
+	first->say_need("m", 1, 1000);
+	time_.run(3000);
+	duty_lease_release(&first->lease);
+	size_t before = platform_.calls.size();
+
+	time_.run(6000);
+	EXPECT_TRUE(second->holds());
+	ASSERT_GT(platform_.calls.size(), before);
+	for (size_t i = before; i < platform_.calls.size(); i++) {
+		EXPECT_EQ("b", platform_.calls[i].host);
+		EXPECT_EQ(second->lease.fence, platform_.calls[i].fence);
+	}
+}
