discovery: keep hosts while their notices cannot be read or written

Notices are now judged as of the last read, and of the own notice that was read last; a gap of any length excuses them.

Writes and reads of partitions are tried again after 100 and 200 ms at most, since results that wait for the store's return are late already.

Tests: a table of outages, and a host that alone cannot write.

--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -76,7 +76,6 @@
 {
 	const struct partition_keeper *keeper = kept->keeper;
 	const struct batch_table *table = &kept->partition->table;
-	int64_t now = now_ns(keeper);
 
 	if (table->owner[0] && strcmp(table->owner, own_host(keeper)->name) &&
 	    claim_age_ms(kept) < CLAIM_SHOWS_LIFE_MS)
@@ -84,7 +83,7 @@
 	for (const struct entry_host *h = keeper->discovery->hosts.first; h;
 	     h = h->next)
 		if (strcmp(h->name, own_host(keeper)->name) && !h->leaving &&
-		    entry_host_is_alive(h, now) && owns(h, kept))
+		    discovery_is_alive(keeper->discovery, h) && owns(h, kept))
 			return 1;
 	return 0;
 }
@@ -105,7 +104,7 @@
 		candidate->name = h->name;
 		candidate->cpu_milli = h->cpu_milli;
 		candidate->takes_calls =
-			entry_host_takes_calls(h, now_ns(keeper));
+			discovery_takes_calls(keeper->discovery, h);
 		if (candidate->takes_calls &&
 		    h->cpu_milli > view->best_cpu_milli)
 			view->best_cpu_milli = h->cpu_milli;
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -17,6 +17,10 @@
 #define NOTICE_PERIOD_PER_HOST_NS (8 * NS_PER_MS)
 #define WATCH_NS (1500 * NS_PER_MS)
 #define TIMEOUT_NS (600 * NS_PER_MS)
+/* Periods after which this host's own notice should have been read again. */
+#define OWN_PERIODS 2
+/* How old the last read is while all is well: a pause and an answer. */
+#define READ_AGE_NS (500 * NS_PER_MS)
 /* Likewise the pause between two reads of each host. */
 #define PAUSE_MIN_NS (150 * NS_PER_MS)
 #define PAUSE_PER_HOST_NS (5 * NS_PER_MS)
@@ -107,7 +111,7 @@
 	host_table_drop(&discovery_of(follower)->hosts, key, offset);
 }
 
-static void on_regained(struct keyed_follower *follower, int64_t away_ns)
+static void on_gap(struct keyed_follower *follower, int64_t away_ns)
 {
 	host_table_excuse(&discovery_of(follower)->hosts, away_ns);
 }
@@ -115,7 +119,7 @@
 static const struct keyed_follower_vtable follower_vtable = {
 	.put = on_put,
 	.drop = on_drop,
-	.regained = on_regained,
+	.gap = on_gap,
 };
 
 static void pack_notice(const struct entry_host *own, struct strbuf *out)
@@ -266,6 +270,37 @@
 	write_notice(discovery);
 }
 
+/*
+ * Notices are judged as of the last read, and as of the last one of this
+ * host's own, so that nobody counts as dead while none can be read or written.
+ */
+static int64_t judged_ns(const struct discovery *discovery)
+{
+	const struct entry_host *own =
+		host_table_find(&discovery->hosts, discovery->own.name);
+	int64_t judged = now_ns(discovery);
+	int64_t read_ns = discovery->follower.answered_ns + READ_AGE_NS;
+	int64_t own_ns =
+		own ? own->heard_ns + OWN_PERIODS * own->period_ms * NS_PER_MS
+		    : judged;
+
+	if (read_ns < judged)
+		judged = read_ns;
+	return own_ns < judged ? own_ns : judged;
+}
+
+int discovery_is_alive(const struct discovery *discovery,
+		       const struct entry_host *host)
+{
+	return entry_host_is_alive(host, judged_ns(discovery));
+}
+
+int discovery_takes_calls(const struct discovery *discovery,
+			  const struct entry_host *host)
+{
+	return entry_host_takes_calls(host, judged_ns(discovery));
+}
+
 int discovery_is_listed(const struct discovery *discovery)
 {
 	return discovery->follower.is_listed;
--- a/discovery/discovery.h
+++ b/discovery/discovery.h
@@ -39,6 +39,14 @@
 void discovery_set_leaving(struct discovery *discovery);
 void discovery_set_partitions(struct discovery *discovery, uint64_t partitions);
 
+/* Whether the host's notices come, as far as they could be read. */
+int discovery_is_alive(const struct discovery *discovery,
+		       const struct entry_host *host);
+
+/* Alive, ready and not leaving: may be named to callers. */
+int discovery_takes_calls(const struct discovery *discovery,
+			  const struct entry_host *host);
+
 /* Whether the notices of the others were read at least once. */
 int discovery_is_listed(const struct discovery *discovery);
 
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -117,7 +117,7 @@
 		candidates[count].name = h->name;
 		candidates[count].cpu_milli = h->cpu_milli;
 		candidates[count].takes_calls =
-			entry_host_takes_calls(h, now_ns(daemon));
+			discovery_takes_calls(&daemon->discovery, h);
 		count++;
 	}
 	position = partition_owner_position(candidates, count, DUTY_RANK,
@@ -448,8 +448,7 @@
 			 &daemon->forwarder, &daemon->batch_api.port,
 			 &daemon->log, &daemon->counters);
 	service_port_init(&daemon->service_port, &daemon->discovery,
-			  &daemon->counters, &daemon->reactor.clock, keep_ms,
-			  daemon->incarnation + 1);
+			  &daemon->counters, keep_ms, daemon->incarnation + 1);
 }
 
 static int listen_on(struct entry_daemon *daemon, struct net_server *server,
--- a/entry/service_port.c
+++ b/entry/service_port.c
@@ -40,7 +40,6 @@
 		xcalloc(hosts->count + 1, sizeof(*candidates));
 	const struct entry_host **list =
 		xcalloc(hosts->count + 1, sizeof(struct entry_host *));
-	int64_t now_ns = clock_now_ns(port->clock);
 	uint32_t chosen[ADDRESS_ANSWER_MAX];
 	uint32_t count = 0;
 	uint32_t taken;
@@ -49,7 +48,7 @@
 		candidates[count].data_centre = h->data_centre;
 		candidates[count].region = h->region;
 		candidates[count].takes_calls =
-			entry_host_takes_calls(h, now_ns);
+			discovery_takes_calls(port->discovery, h);
 		list[count++] = h;
 	}
 	taken = address_answer(candidates, count, call->data_centre,
@@ -140,14 +139,13 @@
 static const struct net_handler_vtable handler_vtable = { on_request, NULL };
 
 void service_port_init(struct service_port *port, struct discovery *discovery,
-		       struct counter_set *counters, struct clock *clock,
-		       uint32_t keep_ms, uint64_t seed)
+		       struct counter_set *counters, uint32_t keep_ms,
+		       uint64_t seed)
 {
 	memset(port, 0, sizeof(*port));
 	port->handler.vt = &handler_vtable;
 	port->discovery = discovery;
 	port->counters = counters;
-	port->clock = clock;
 	port->keep_ms = keep_ms;
 	rng_init(&port->rng, seed);
 	port->address_answers = counter_get(counters, "address_answers_total");
--- a/entry/service_port.h
+++ b/entry/service_port.h
@@ -13,7 +13,6 @@
 	struct net_handler handler;
 	struct discovery *discovery;
 	struct counter_set *counters;
-	struct clock *clock;
 	struct rng rng;
 	uint32_t keep_ms; /* how long an answer with addresses holds */
 	int ready;
@@ -21,7 +20,7 @@
 };
 
 void service_port_init(struct service_port *port, struct discovery *discovery,
-		       struct counter_set *counters, struct clock *clock,
-		       uint32_t keep_ms, uint64_t seed);
+		       struct counter_set *counters, uint32_t keep_ms,
+		       uint64_t seed);
 
 #endif
--- a/store/keyed_follower.c
+++ b/store/keyed_follower.c
@@ -111,6 +111,8 @@
 {
 	int64_t away_ns = follower->began_ns - follower->answered_ns;
 
+	if (follower->failures && follower->vt->gap)
+		follower->vt->gap(follower, away_ns);
 	follower->failures = 0;
 	follower->answered_ns = follower->began_ns;
 	if (!follower->is_lost)
--- a/store/keyed_follower.h
+++ b/store/keyed_follower.h
@@ -25,7 +25,9 @@
 	 */
 	void (*listing)(struct keyed_follower *follower);
 	void (*listed)(struct keyed_follower *follower, uint64_t offset);
-	/* Reads fail, or work again; may be NULL. */
+	/* Reads that failed work again, the last good one is so old. */
+	void (*gap)(struct keyed_follower *follower, int64_t away_ns);
+	/* The same, told once it lasts. All of these may be NULL. */
 	void (*lost)(struct keyed_follower *follower,
 		     enum topic_outcome outcome);
 	void (*regained)(struct keyed_follower *follower, int64_t away_ns);
--- a/store/topic_follower.c
+++ b/store/topic_follower.c
@@ -14,7 +14,7 @@
  */
 #define WATCH_NS (1500 * NS_PER_MS)
 #define RETRY_FIRST_NS (50 * NS_PER_MS)
-#define RETRY_MAX_NS (500 * NS_PER_MS)
+#define RETRY_MAX_NS (200 * NS_PER_MS)
 /* A refresh is answered "not read" after this many failed reads. */
 #define CATCH_UP_TRIES 3
 
--- a/store/topic_writer.c
+++ b/store/topic_writer.c
@@ -12,7 +12,7 @@
  */
 #define APPEND_TIMEOUT_NS (700 * NS_PER_MS)
 #define RETRY_FIRST_NS (20 * NS_PER_MS)
-#define RETRY_MAX_NS (400 * NS_PER_MS)
+#define RETRY_MAX_NS (100 * NS_PER_MS)
 
 static void send_next(struct topic_writer *writer);
 
--- a/t/lib-fake-topics.cc
+++ b/t/lib-fake-topics.cc
@@ -192,6 +192,8 @@
 
 	if (faults)
 		call->fault = faults(call->kind, topic);
+	if (writer_faults && call->append && call->fault == Fault::NONE)
+		call->fault = writer_faults(call->append->writer);
 	if (call->fault == Fault::LOST)
 		carry_out(call);
 	if (call->fault == Fault::LATE && call->append) {
--- a/t/lib-fake-topics.h
+++ b/t/lib-fake-topics.h
@@ -62,6 +62,8 @@
 	// Decides on each call; `kind` is "append", "read" or "newest".
 	std::function<Fault(const std::string &kind, const std::string &topic)>
 		faults;
+	// The same for appends of one writer.
+	std::function<Fault(const std::string &writer)> writer_faults;
 	int64_t delay_ms = 4;
 	// Reads show the partition as it was this many records ago.
 	uint64_t stale_records = 0;
--- /dev/null
+++ b/t/test-discovery.cc
@@ -0,0 +1,178 @@
+// How entry hosts know of each other: who may be named to callers while
+// hosts come, leave or die, and while the store is away.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lib-fake-topics.h"
+
+extern "C" {
+#include "base/alloc.h"
+#include "discovery/discovery.h"
+}
+
+namespace
+{
+
+class Host
+{
+      public:
+	Host(FakeTime *time, FakeTopics *topics, const std::string &name,
+	     uint64_t incarnation)
+	{
+		struct entry_host own = {};
+
+		copy_text(own.name, sizeof(own.name), name.c_str());
+		copy_text(own.data_centre, sizeof(own.data_centre), "dc");
+		copy_text(own.caller_address, sizeof(own.caller_address),
+			  "10.0.0.1:80");
+		own.incarnation = incarnation;
+		own.cpu_milli = 500;
+		counter_set_init(&counters_);
+		discovery_init(&discovery, topics->log(), &time->timers, &own,
+			       nullptr, &counters_);
+		discovery_start(&discovery);
+	}
+
+	~Host()
+	{
+		discovery_finish(&discovery);
+		counter_set_finish(&counters_);
+	}
+
+	bool sees(const std::string &name) const
+	{
+		const struct entry_host *host =
+			host_table_find(&discovery.hosts, name.c_str());
+
+		return host && discovery_takes_calls(&discovery, host);
+	}
+
+	struct discovery discovery;
+
+      private:
+	struct counter_set counters_;
+};
+
+class Discovery : public ::testing::Test
+{
+      protected:
+	Discovery() : topics_(&time_.timers)
+	{
+	}
+
+	Host *add(const std::string &name, uint64_t incarnation = 1)
+	{
+		hosts_.emplace_back(
+			new Host(&time_, &topics_, name, incarnation));
+		discovery_set_ready(&hosts_.back()->discovery, 1);
+		return hosts_.back().get();
+	}
+
+	void fail(const std::string &kind, Fault fault)
+	{
+		topics_.faults = [kind, fault](const std::string &of,
+					       const std::string &) {
+			return kind.empty() || kind == of ? fault : Fault::NONE;
+		};
+	}
+
+	FakeTime time_;
+	FakeTopics topics_;
+	std::vector<std::unique_ptr<Host>> hosts_;
+};
+
+} // namespace
+
+TEST_F(Discovery, KnowsHostsThatComeLeaveAndDie)
+{
+	Host *first = add("a");
+
+	add("b");
+	time_.run(1000);
+	EXPECT_TRUE(first->sees("a"));
+	EXPECT_TRUE(first->sees("b"));
+	discovery_set_leaving(&hosts_[1]->discovery);
+	time_.run(300);
+	EXPECT_FALSE(first->sees("b")) << "leaves";
+	hosts_.pop_back();
+	add("b", 2);
+	time_.run(400);
+	EXPECT_TRUE(first->sees("b")) << "came again";
+	hosts_.pop_back();
+	time_.run(500);
+	EXPECT_TRUE(first->sees("b")) << "may be late";
+	time_.run(1500);
+	EXPECT_FALSE(first->sees("b")) << "died";
+	EXPECT_TRUE(first->sees("a"));
+}
+
+namespace
+{
+
+struct OutageCase {
+	const char *name;
+	const char *kind; // of calls that fail; "": all
+	Fault fault;
+	int64_t lasts_ms;
+};
+
+} // namespace
+
+// Load pattern: the store is away for seconds, and callers go on asking for
+// addresses: they get those that were known before.
+TEST_F(Discovery, KeepsHostsWhileNoticesCannotBeRead)
+{
+	const OutageCase cases[] = {
+		{ "all refused", "", Fault::REFUSED, 8000 },
+		{ "no answers", "", Fault::SILENT, 8000 },
+		{ "a short one", "", Fault::REFUSED, 900 },
+		{ "no answers to reads", "read", Fault::SILENT, 5000 },
+		{ "no host can write", "append", Fault::REFUSED, 5000 },
+	};
+
+	for (const OutageCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		Host *first = add("a");
+
+		add("b");
+		time_.run(1500);
+		ASSERT_TRUE(first->sees("b"));
+		fail(c.kind, c.fault);
+		for (int64_t at = 0; at < c.lasts_ms; at += 100) {
+			time_.run(100);
+			ASSERT_TRUE(first->sees("b")) << at;
+			ASSERT_TRUE(first->sees("a")) << at;
+		}
+		topics_.faults = nullptr;
+		for (int64_t at = 0; at < 4000; at += 100) {
+			time_.run(100);
+			ASSERT_TRUE(first->sees("b")) << "back for " << at;
+		}
+		hosts_.pop_back();
+		time_.run(2500);
+		EXPECT_FALSE(first->sees("b"));
+		hosts_.clear();
+	}
+}
+
+// A host that alone cannot write is not named by the others.
+TEST_F(Discovery, DropsAHostWhoseNoticesStop)
+{
+	Host *first = add("a");
+	Host *second = add("b");
+
+	time_.run(1000);
+	topics_.writer_faults = [](const std::string &writer) {
+		return writer[0] == 'b' ? Fault::REFUSED : Fault::NONE;
+	};
+	time_.run(5000);
+	EXPECT_FALSE(first->sees("b"));
+	EXPECT_TRUE(first->sees("a"));
+	EXPECT_TRUE(second->sees("a"));
+	topics_.writer_faults = nullptr;
+	time_.run(1000);
+	EXPECT_TRUE(first->sees("b"));
+}
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -513,9 +513,9 @@
 	keys_of(base)->regained++;
 }
 
-const struct keyed_follower_vtable keys_vtable = { on_put,     on_drop,
-						   on_listing, on_listed,
-						   on_lost,    on_regained };
+const struct keyed_follower_vtable keys_vtable = {
+	on_put, on_drop, on_listing, on_listed, nullptr, on_lost, on_regained
+};
 
 class KeyedFollowing : public TopicStore
 {
