batch: fill answers to reads up to a megabyte

Readers planned for two bytes for each byte of a text, so that an answer held half a megabyte at most. After an outage, when all results of a large batch become readable at once, a trainer that reads twice a second needed four reads and 1.7 s. The owner now notes how long a text is in an answer, and readers count with that.

--- a/batch/batch.c
+++ b/batch/batch.c
@@ -132,6 +132,7 @@
 	item->position = batch->listed_count;
 	item->text_offset = result->text_offset;
 	item->text_bytes = result->text_bytes;
+	item->answer_bytes = result->answer_bytes;
 	batch->listed[batch->listed_count++] = result->item;
 	return 1;
 }
--- a/batch/batch.h
+++ b/batch/batch.h
@@ -21,6 +21,7 @@
 	const char *id;
 	uint64_t text_offset; /* of its result */
 	uint32_t text_bytes;
+	uint32_t answer_bytes; /* that the text takes in an answer */
 	uint32_t position; /* among the results, once it is not open */
 	uint8_t state; /* enum batch_item_state */
 	uint8_t version_set; /* of its result */
--- a/batch/results_load.c
+++ b/batch/results_load.c
@@ -4,28 +4,35 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "platform/batch_codec.h"
 
-/* Results of one answer take at most this much, escaped. */
-#define ANSWER_MAX_BYTES (900 * 1024)
-/* What a result takes beside its text, in an answer and in the log. */
+/* What a result takes beside its text, in the log and in an answer. */
 #define RESULT_OVERHEAD_BYTES 256
+#define ANSWER_OVERHEAD_BYTES 80
+#define VERSION_BYTES 21 /* the digits of 64 bits and a comma */
 /* Where texts of other batches stand between, a read takes what it gets. */
 #define MIXED_READ_BYTES (1024 * 1024)
 /* Then the answer holds what was found so far. */
 #define READS_MAX 4
 
+static size_t answer_bytes(const struct batch *batch,
+			   const struct batch_item *item)
+{
+	return item->answer_bytes + strlen(item->id) + ANSWER_OVERHEAD_BYTES +
+	       VERSION_BYTES * batch_item_versions(batch, item)->count;
+}
+
 static uint32_t count_results(const struct batch *batch, uint32_t after)
 {
-	size_t bytes = 0;
+	size_t bytes = ANSWER_OVERHEAD_BYTES;
 	uint32_t count = 0;
 
 	while (after + count < batch->listed_count) {
 		const struct batch_item *item =
 			&batch->items[batch->listed[after + count]];
 
-		/* An escaped byte takes two, mostly. */
-		bytes += 2 * (size_t)item->text_bytes + RESULT_OVERHEAD_BYTES;
-		if (count && bytes > ANSWER_MAX_BYTES)
+		bytes += answer_bytes(batch, item);
+		if (count && bytes > PLATFORM_ANSWER_MAX_BYTES)
 			break;
 		count++;
 	}
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -2,6 +2,7 @@
 
 #include "base/alloc.h"
 #include "batch/batch_runner_private.h"
+#include "platform/batch_codec.h"
 
 /* A result or a note of progress on its way: first its text, then its record.
  */
@@ -18,6 +19,7 @@
 	uint64_t versions[ITEM_VERSIONS_MAX];
 	uint32_t version_count;
 	uint32_t text_bytes;
+	uint32_t answer_bytes; /* of the text */
 	uint64_t text_offset;
 };
 
@@ -50,6 +52,7 @@
 	result->reason = (char *)(out->reason ? out->reason : "");
 	result->text_offset = out->text_offset;
 	result->text_bytes = out->text_bytes;
+	result->answer_bytes = out->answer_bytes;
 }
 
 static void fill_progress(const struct outgoing *out,
@@ -134,6 +137,8 @@
 	for (uint32_t i = 0; i < out->version_count; i++)
 		out->versions[i] = item->made.versions[i];
 	out->text_bytes = (uint32_t)item->made.text.len;
+	out->answer_bytes = (uint32_t)platform_batch_text_bytes(
+		item->made.text.buf, item->made.text.len);
 	return out;
 }
 
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -1969,7 +1969,7 @@
   (ProtobufCMessageInit) currant__topic__batch_accepted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__item_result__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__topic__item_result__field_descriptors[8] =
 {
   {
     "batch",
@@ -2055,8 +2055,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer_bytes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemResult, answer_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__item_result__field_indices_by_name[] = {
+  7,   /* field[7] = answer_bytes */
   0,   /* field[0] = batch */
   1,   /* field[1] = item */
   4,   /* field[4] = reason */
@@ -2068,7 +2081,7 @@
 static const ProtobufCIntRange currant__topic__item_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor currant__topic__item_result__descriptor =
 {
@@ -2078,7 +2091,7 @@
   "Currant__Topic__ItemResult",
   "currant.topic",
   sizeof(Currant__Topic__ItemResult),
-  7,
+  8,
   currant__topic__item_result__field_descriptors,
   currant__topic__item_result__field_indices_by_name,
   1,  currant__topic__item_result__number_ranges,
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -356,10 +356,14 @@
    */
   uint64_t text_offset;
   uint32_t text_bytes;
+  /*
+   * that the text takes in an answer
+   */
+  uint32_t answer_bytes;
 };
 #define CURRANT__TOPIC__ITEM_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__item_result__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, CURRANT__TOPIC__ITEM_STATE__COMPLETE, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, CURRANT__TOPIC__ITEM_STATE__COMPLETE, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Currant__Topic__BatchEnd
--- a/t/lib-batch-host.cc
+++ b/t/lib-batch-host.cc
@@ -207,6 +207,7 @@
 				 (wait ? "X-Wait-Ms: 1000\r\n" : "") + "\r\n");
 
 	out.status = http_status(answer);
+	out.bytes = answer.size() - (answer.find("\r\n\r\n") + 4);
 	if (out.status == 200)
 		parse_results(answer.substr(answer.find("\r\n\r\n") + 4), &out);
 	return out;
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -26,6 +26,7 @@
 	int status = 0; // 0: none came
 	uint64_t total = 0;
 	uint64_t next = 0;
+	size_t bytes = 0; // of the body
 	std::vector<ReadResult> results;
 };
 
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -204,7 +204,8 @@
 		text = "x-weight-versions: " +
 		       std::to_string(reply.version + 1) + "\n";
 	text += "id: " + std::to_string(run->event) + "\ndata: " + run->saw.id +
-		"." + std::to_string(run->event) + "\n\n";
+		"." + std::to_string(run->event) +
+		std::string(reply.event_bytes, '"') + "\n\n";
 	if (reply.torn_after >= 0 && run->event > reply.torn_after) {
 		net_request_write(request, text.data(), text.size() / 2);
 		end(run);
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -36,6 +36,7 @@
 	// A stream of events, numbered from 1.
 	bool stream = false;
 	int events = 3;
+	int event_bytes = 0; // further ones of each event's data
 	int interval_ms = 1;
 	int cut_after = -1; // events; then the connection ends
 	int torn_after = -1; // likewise, in the middle of the next event
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -147,6 +147,41 @@
 	EXPECT_EQ(4u, engines_[0]->seen.size());
 }
 
+// Answers hold as many results as a megabyte takes, and no more.
+TEST_F(Batches, AreReadInAnswersOfBoundedSize)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ServerReply large = stream(2);
+	std::vector<std::string> ids;
+	int answers = 0;
+
+	large.event_bytes = 50000; /* quotes, which take two bytes each */
+	submission.groups = 6;
+	topics_.log()->max_record_bytes = 262144;
+	topics_.log()->max_append_bytes = 2000000;
+	add_engine("e", large);
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(loop_.run_until([&] {
+		struct batch_partition *in;
+		struct batch *batch = batch_set_find(&host->set, "batch1", &in);
+
+		return batch && batch->listed_count == 12;
+	}));
+	while (ids.size() < 12) {
+		ReadAnswer answer = host->read("batch1", ids.size());
+
+		ASSERT_GT(answer.results.size(), 0u);
+		EXPECT_LE(answer.bytes, 1000000u);
+		for (const ReadResult &result : answer.results)
+			ids.push_back(result.id);
+		answers++;
+	}
+	/* Twelve results of 200,000 bytes. */
+	EXPECT_EQ(3, answers);
+	EXPECT_EQ(12u, std::set<std::string>(ids.begin(), ids.end()).size());
+}
+
 TEST_F(Batches, BelongToTheirTeam)
 {
 	BatchHost *host = add_host("a");
--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -646,6 +646,41 @@
 	strbuf_finish(&out);
 }
 
+// The size that is planned for is the size that is written.
+TEST(PlatformBatch, TextsTakeTheBytesThatWereCounted)
+{
+	const std::string texts[] = {
+		"",
+		"plain",
+		"a\nb\nc",
+		"\"quoted\" \\ / \t\r\b\f",
+		"\x01\x1f",
+		std::string("\0zero", 5),
+		"gr\xc3\xbc\xc3\x9f \xe2\x82\xac",
+	};
+
+	for (const std::string &text : texts) {
+		struct batch_result_view empty = {}, view = {};
+		struct strbuf without, with;
+
+		strbuf_init(&without);
+		strbuf_init(&with);
+		empty.id = view.id = "i";
+		empty.text = "";
+		view.text = text.data();
+		view.text_len = text.size();
+		ASSERT_EQ(0, platform_batch_write_results(&without, 1, 0,
+							  &empty, 1));
+		ASSERT_EQ(0,
+			  platform_batch_write_results(&with, 1, 0, &view, 1));
+		EXPECT_EQ(with.len - without.len,
+			  platform_batch_text_bytes(text.data(), text.size()))
+			<< with.buf;
+		strbuf_finish(&without);
+		strbuf_finish(&with);
+	}
+}
+
 TEST(PlatformBase64, RoundTripsAndRefusesOddTexts)
 {
 	struct strbuf text, bytes;
