store: drop writes without an outcome with their writer

A writer that was finished forgot the writes that still waited, so their owners' memory leaked (usage sums, closes of windows, results); owners that freed them by themselves did so while the writer still named them. Two listeners of batch tables, the runner's and the keeper's, were freed and stayed subscribed, so that the table told freed memory when it was finished: also at the daemon's own end. One test gave a length four bytes beyond its text.

Change: a write has dropped(), which the writer calls for each write whose outcome is not known when it is finished; owners let go of writes that they have handed over. Listeners are taken out before they are freed. The fleet tells nobody while it is finished. Copies of no bytes from NULL are loops now. The test takes the length from its text.

Ruled out: calling done() with one more outcome, since owners act on it and some of what they act on is finished by then.

TopicStore.WritesWithoutAnOutcomeAreDroppedWithTheWriter is new.

--- a/batch/batch.c
+++ b/batch/batch.c
@@ -107,7 +107,8 @@
 	set = &batch->version_sets[batch->version_set_count];
 	set->count = (uint32_t)result->n_versions;
 	set->versions = xcalloc(set->count + 1, sizeof(uint64_t));
-	memcpy(set->versions, result->versions, set->count * sizeof(uint64_t));
+	for (uint32_t i = 0; i < set->count; i++)
+		set->versions[i] = result->versions[i];
 	return (int)batch->version_set_count++;
 }
 
--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -527,8 +527,6 @@
 
 		if (call->request)
 			net_request_abort(call->request);
-		if (call->write)
-			batch_write_free(call->write);
 		free_call(call);
 		call = next;
 	}
--- a/batch/batch_partition.c
+++ b/batch/batch_partition.c
@@ -65,6 +65,15 @@
 	write->done(write, outcome);
 }
 
+static void on_dropped(struct topic_write *base)
+{
+	struct batch_write *write = (struct batch_write *)base;
+
+	if (write->free_arg)
+		write->free_arg(write->arg);
+	batch_write_free(write);
+}
+
 struct batch_write *batch_write_new(struct batch_partition *partition,
 				    int is_text,
 				    void (*done)(struct batch_write *write,
@@ -75,6 +84,7 @@
 
 	strbuf_init(&write->base.records);
 	write->base.done = on_written;
+	write->base.dropped = on_dropped;
 	write->partition = partition;
 	write->is_text = is_text;
 	write->done = done;
--- a/batch/batch_partition.h
+++ b/batch/batch_partition.h
@@ -21,7 +21,10 @@
 	uint32_t number;
 };
 
-/* Records that are appended; freed by whoever added them, once done. */
+/*
+ * Records that are appended; freed by whoever added them, once done, or by
+ * batch_partition_finish().
+ */
 struct batch_write {
 	struct topic_write base;
 	struct batch_partition *partition;
@@ -33,6 +36,8 @@
 	void (*done)(struct batch_write *write,
 		     enum topic_write_outcome outcome);
 	void *arg;
+	/* Frees `arg` where done() will not be called; NULL: not needed */
+	void (*free_arg)(void *arg);
 };
 
 void batch_partition_init(struct batch_partition *partition,
--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -333,6 +333,7 @@
 {
 	struct run_batch *batch = owned->batches;
 
+	batch_table_remove_listener(&owned->partition->table, &owned->listener);
 	while (batch) {
 		struct run_batch *next = batch->next;
 
@@ -417,7 +418,6 @@
 	if (hand_over)
 		runner_store_progress(runner, owned);
 	*at = owned->next;
-	batch_table_remove_listener(&partition->table, &owned->listener);
 	topic_follower_unwant(&partition->follower);
 	free_owned(owned);
 	update_watch(runner);
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -407,8 +407,6 @@
 
 		if (submission->request)
 			net_request_abort(submission->request);
-		if (submission->write)
-			batch_write_free(submission->write);
 		free_submission(submission);
 		submission = next;
 	}
--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -363,8 +363,8 @@
 		if (kept->refreshing)
 			topic_follower_drop_refresh(&kept->partition->follower,
 						    &kept->refresh);
-		if (kept->claim)
-			batch_write_free(kept->claim);
+		batch_table_remove_listener(&kept->partition->table,
+					    &kept->listener);
 	}
 	free(keeper->kept);
 }
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -23,8 +23,10 @@
 	uint64_t text_offset;
 };
 
-static void free_outgoing(struct outgoing *out)
+static void free_outgoing(void *arg)
 {
+	struct outgoing *out = arg;
+
 	free(out->batch);
 	free(out);
 }
@@ -86,6 +88,7 @@
 		record.kind_case = CURRANT__TOPIC__BATCH_RECORD__KIND_RESULT;
 		record.result = &result;
 	}
+	write->free_arg = free_outgoing;
 	write->base.persistent = 1;
 	batch_write_add(write, &record);
 	batch_write_start(write);
@@ -115,6 +118,7 @@
 		return;
 	}
 	write = batch_write_new(out->partition, 1, on_text_stored, out);
+	write->free_arg = free_outgoing;
 	write->base.persistent = 1;
 	write->base.record_count = 1;
 	batch_record_add_text(&write->base.records, out->batch, out->item,
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -154,8 +154,7 @@
 
 	(void)outcome; /* the next notice makes up for a lost one */
 	discovery->pending = NULL;
-	strbuf_finish(&write->records);
-	free(write);
+	topic_write_free(write);
 	if (discovery->stale)
 		write_notice(discovery);
 }
@@ -177,6 +176,7 @@
 	strbuf_finish(&value);
 	write->record_count = 1;
 	write->done = on_written;
+	write->dropped = topic_write_free;
 	write->arg = discovery;
 	discovery->pending = write;
 	topic_writer_add(&discovery->writer, write);
@@ -236,9 +236,6 @@
 	timer_unsubscribe(discovery->follower.timers, &discovery->timer);
 	keyed_follower_finish(&discovery->follower);
 	topic_writer_finish(&discovery->writer);
-	if (discovery->pending)
-		strbuf_finish(&discovery->pending->records);
-	free(discovery->pending);
 	host_table_finish(&discovery->hosts);
 }
 
--- a/duty/usage_counter.c
+++ b/duty/usage_counter.c
@@ -67,8 +67,7 @@
 		       enum topic_write_outcome outcome)
 {
 	(void)outcome; /* it is persistent: never refused */
-	strbuf_finish(&write->records);
-	free(write);
+	topic_write_free(write);
 }
 
 /* Takes the counts of one window out of the list. */
@@ -160,6 +159,7 @@
 	strbuf_init(&write->records);
 	write->persistent = 1;
 	write->done = on_written;
+	write->dropped = topic_write_free;
 	while (counter->pending)
 		add_sum(counter, counter->pending->window, write);
 	topic_writer_add(&counter->writer, write);
--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -74,8 +74,7 @@
 		topic_follower_note_own(&duty->follower, write->offset,
 					&write->records);
 	duty->writing = 0;
-	strbuf_finish(&write->records);
-	free(write);
+	topic_write_free(write);
 }
 
 static void write_record(struct usage_duty *duty,
@@ -94,6 +93,7 @@
 	strbuf_finish(&packed);
 	write->record_count = 1;
 	write->done = on_written;
+	write->dropped = topic_write_free;
 	write->arg = duty;
 	duty->writing = 1;
 	topic_writer_add(&duty->writer, write);
--- a/duty/weight_board.c
+++ b/duty/weight_board.c
@@ -126,8 +126,7 @@
 		       enum topic_write_outcome outcome)
 {
 	(void)outcome; /* the next one makes up for it, or engines' entries */
-	strbuf_finish(&write->records);
-	free(write);
+	topic_write_free(write);
 }
 
 static void say(struct weight_board *board, const char *prefix,
@@ -141,6 +140,7 @@
 	topic_add_keyed(&write->records, key, value->buf, value->len);
 	write->record_count = 1;
 	write->done = on_written;
+	write->dropped = topic_write_free;
 	topic_writer_add(&board->writer, write);
 }
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -51,6 +51,7 @@
 
 void fleet_finish(struct fleet *fleet)
 {
+	fleet->listeners = NULL; /* they are finished by now */
 	while (fleet->first)
 		take_out(fleet, &fleet->first);
 }
--- a/store/topic_writer.c
+++ b/store/topic_writer.c
@@ -45,11 +45,29 @@
 	writer->refusals = counter_get(counters, "store_append_refused_total");
 }
 
+void topic_write_free(struct topic_write *write)
+{
+	strbuf_finish(&write->records);
+	free(write);
+}
+
+static void drop_writes(struct topic_write *write)
+{
+	while (write) {
+		struct topic_write *next = write->next;
+
+		write->dropped(write);
+		write = next;
+	}
+}
+
 void topic_writer_finish(struct topic_writer *writer)
 {
 	if (writer->in_flight)
 		writer->log->vt->cancel(writer->log, writer->append.call);
 	timer_unsubscribe(writer->timers, &writer->retry);
+	drop_writes(writer->sent);
+	drop_writes(writer->waiting);
 	strbuf_finish(&writer->group);
 }
 
--- a/store/topic_writer.h
+++ b/store/topic_writer.h
@@ -21,7 +21,10 @@
 };
 
 struct topic_write {
-	/* Filled by the caller; freed with the write by its owner. */
+	/*
+	 * Filled by the caller; freed with the write by its owner, in done()
+	 * or dropped(), or after it was withdrawn.
+	 */
 	struct strbuf records; /* as topic_add_record() writes them */
 	uint32_t record_count;
 	int persistent; /* a refusal is tried again until it is done */
@@ -31,12 +34,17 @@
 	 */
 	void (*done)(struct topic_write *write,
 		     enum topic_write_outcome outcome);
+	/* The writer is finished before the outcome is known. */
+	void (*dropped)(struct topic_write *write);
 	void *arg;
 
 	uint64_t offset; /* of its first record */
 	struct topic_write *next;
 };
 
+/* Frees a write that was allocated by itself, and its records. */
+void topic_write_free(struct topic_write *write);
+
 struct topic_writer {
 	struct topic_log *log;
 	struct timer_service *timers;
@@ -66,7 +74,7 @@
 		       uint32_t partition, const char *name,
 		       struct counter_set *counters);
 
-/* Drops what was not written; done() is not called. */
+/* Calls dropped() of each write whose done() was not called. */
 void topic_writer_finish(struct topic_writer *writer);
 
 void topic_writer_add(struct topic_writer *writer, struct topic_write *write);
--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -482,9 +482,11 @@
 	struct server_event event;
 
 	strbuf_init(&event.data);
-	EXPECT_EQ(0, platform_read_event("x-weight-versions: 4\nid: 12\n"
-					 "data: one\r\ndata: two\n\n",
-					 54, &event));
+	std::string two_lines = "x-weight-versions: 4\nid: 12\n"
+				"data: one\r\ndata: two\n\n";
+
+	EXPECT_EQ(0, platform_read_event(two_lines.data(), two_lines.size(),
+					 &event));
 	EXPECT_EQ(12, event.id);
 	EXPECT_EQ(4u, event.weight_version);
 	EXPECT_STREQ("one\ntwo", event.data.buf);
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -21,6 +21,7 @@
 struct Write {
 	struct topic_write base;
 	int done = 0;
+	int dropped = 0;
 	enum topic_write_outcome outcome;
 };
 
@@ -32,6 +33,12 @@
 	write->outcome = outcome;
 }
 
+void on_dropped(struct topic_write *base)
+{
+	((Write *)base->arg)->dropped++;
+	strbuf_finish(&base->records);
+}
+
 void init_write(Write *write, const std::string &record, bool persistent)
 {
 	write->base = {};
@@ -40,6 +47,7 @@
 	write->base.record_count = 1;
 	write->base.persistent = persistent;
 	write->base.done = on_written;
+	write->base.dropped = on_dropped;
 	write->base.arg = write;
 }
 
@@ -195,6 +203,31 @@
 	topic_writer_finish(&writer_);
 }
 
+TEST_F(TopicStore, WritesWithoutAnOutcomeAreDroppedWithTheWriter)
+{
+	Write sent, waiting, done;
+
+	init_writer();
+	init_write(&done, "a", false);
+	topic_writer_add(&writer_, &done.base);
+	time_.run(100);
+	topics_.faults = [](const std::string &, const std::string &) {
+		return Fault::SILENT;
+	};
+	init_write(&sent, "b", true);
+	topic_writer_add(&writer_, &sent.base);
+	init_write(&waiting, "c", false);
+	topic_writer_add(&writer_, &waiting.base);
+	topic_writer_finish(&writer_);
+	time_.run(60000);
+	EXPECT_EQ(1, done.done);
+	EXPECT_EQ(0, done.dropped);
+	EXPECT_EQ(0, sent.done + waiting.done);
+	EXPECT_EQ(1, sent.dropped);
+	EXPECT_EQ(1, waiting.dropped);
+	strbuf_finish(&done.base.records);
+}
+
 TEST_F(TopicStore, GoesOnAfterALongOutage)
 {
 	bool down = true;
