t: keep names out of a test's settings

Cause: one report of the leak sanitizer in a whole run, 28 bytes allocated by libc's resolver (the copy of a server's address, one a query). strace of each test program: test-command-line alone asks a name server, for the host "h" in the last case's settings. That daemon ends with status 1 while libcurl's resolver threads still run, so whether the allocation counts as leaked depends on how soon the name server answers.

Change: the settings name 127.0.0.1 instead. What the case checks (status and reason for a port that is not the host's) stays as it was.

--- a/t/test-command-line.cc
+++ b/t/test-command-line.cc
@@ -39,8 +39,8 @@
 TEST(DaemonCommandLine, StatusAndReason)
 {
 	const std::string fine =
-		"\"name\":\"e\",\"data_centre\":\"b\",\"log_url\":\"http://h:1\","
-		"\"hosts_url\":\"http://h:2\"";
+		"\"name\":\"e\",\"data_centre\":\"b\",\"log_url\":\"http://127.0.0.1:1\","
+		"\"hosts_url\":\"http://127.0.0.1:2\"";
 	TempDir dir;
 	const std::string file = dir.file("settings.json");
 	const struct {
