--- a/t/lib-raw-server.cc
+++ b/t/lib-raw-server.cc
@@ -39,29 +39,55 @@
 	return requests_;
 }
 
+// Whether the head and as much body as it names have come.
+static bool is_whole_request(const std::string &request)
+{
+	const std::string field = "\r\nContent-Length: ";
+	size_t head = request.find("\r\n\r\n");
+	size_t at = request.find(field);
+
+	if (head == std::string::npos)
+		return false;
+	return at > head ||
+	       request.size() >=
+		       head + 4 + std::stoul(request.substr(at + field.size()));
+}
+
+static std::string read_request(int fd)
+{
+	std::string request;
+	char bytes[65536];
+	ssize_t len;
+
+	while (!is_whole_request(request) &&
+	       (len = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		request.append(bytes, len);
+	return request;
+}
+
 void RawServer::serve()
 {
 	int fd;
 
 	while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
-		char request[65536];
-		ssize_t len = recv(fd, request, sizeof(request), 0);
+		std::string request = read_request(fd);
+		char rest[4096];
 
-		if (len > 0) {
+		if (!request.empty()) {
 			size_t at;
 			{
 				std::lock_guard<std::mutex> guard(lock_);
 
 				at = std::min(requests_.size(),
 					      answers_.size() - 1);
-				requests_.emplace_back(request, len);
+				requests_.push_back(request);
 			}
 			send(fd, answers_[at].data(), answers_[at].size(),
 			     MSG_NOSIGNAL);
 		}
 		shutdown(fd, SHUT_WR);
 		// Read the rest, so that closing does not reset.
-		while (recv(fd, request, sizeof(request), 0) > 0)
+		while (recv(fd, rest, sizeof(rest), 0) > 0)
 			;
 		close(fd);
 	}
