entry: forget old batches, and count usage only where it is asked for

Cause: batches stayed in every daemon's memory for ever; nobody called batch_table_forget(). Where the settings do not name the duty of reporting usage, windows were counted, closed and reported all the same.

Change: each ten seconds a daemon frees batches that were ended and whose results need not be kept any longer, and those that are listed whole and older than what the store keeps. Ten seconds are allowed for clocks that differ. The usage duty stays out of the lease where nobody asks for usage.

--- a/batch/batch_partition.c
+++ b/batch/batch_partition.c
@@ -149,6 +149,14 @@
 				     writer_name, counters);
 }
 
+void batch_set_forget(struct batch_set *set, int64_t ended_before_ms,
+		      int64_t done_before_ms)
+{
+	for (uint32_t i = 0; i < set->count; i++)
+		batch_table_forget(&set->partitions[i].table, ended_before_ms,
+				   done_before_ms);
+}
+
 void batch_set_finish(struct batch_set *set)
 {
 	for (uint32_t i = 0; i < set->count; i++)
--- a/batch/batch_partition.h
+++ b/batch/batch_partition.h
@@ -83,6 +83,10 @@
 struct batch_partition *batch_set_place(struct batch_set *set,
 					const char *model, const char *path);
 
+/* See batch_table_forget(). */
+void batch_set_forget(struct batch_set *set, int64_t ended_before_ms,
+		      int64_t done_before_ms);
+
 /* The batch as far as it was read; `*in` is its partition. */
 struct batch *batch_set_find(struct batch_set *set, const char *id,
 			     struct batch_partition **in);
--- a/batch/batch_table.c
+++ b/batch/batch_table.c
@@ -209,14 +209,17 @@
 		currant__topic__batch_record__free_unpacked(record, NULL);
 }
 
-void batch_table_forget(struct batch_table *table, int64_t before_ms)
+void batch_table_forget(struct batch_table *table, int64_t ended_before_ms,
+			int64_t done_before_ms)
 {
 	struct batch *batch = table->oldest;
 
 	while (batch) {
 		struct batch *newer = batch->newer;
 
-		if (batch->accepted_ms < before_ms && batch_is_done(batch))
+		if ((batch->ended && batch->accepted_ms < ended_before_ms) ||
+		    (batch_is_done(batch) &&
+		     batch->accepted_ms < done_before_ms))
 			remove_batch(table, batch);
 		batch = newer;
 	}
--- a/batch/batch_table.h
+++ b/batch/batch_table.h
@@ -58,7 +58,11 @@
 
 struct batch *batch_table_find(const struct batch_table *table, const char *id);
 
-/* Frees batches that are done and were accepted before `before_ms`. */
-void batch_table_forget(struct batch_table *table, int64_t before_ms);
+/*
+ * Frees batches that were accepted before `ended_before_ms` and are ended, and
+ * those before `done_before_ms` whose items are all listed.
+ */
+void batch_table_forget(struct batch_table *table, int64_t ended_before_ms,
+			int64_t done_before_ms);
 
 #endif
--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -266,7 +266,7 @@
 		     struct timer_service *timers, struct duty_lease *lease,
 		     struct duty_port *port, const char *holder,
 		     const char *writer_name, uint32_t window_s,
-		     uint32_t late_s, struct record_log *records,
+		     uint32_t late_s, int reports, struct record_log *records,
 		     struct counter_set *counters)
 {
 	memset(duty, 0, sizeof(*duty));
@@ -286,7 +286,8 @@
 	duty->refresh.arg = duty;
 	duty->lease_listener.gained = on_gained;
 	duty->lease_listener.lost = on_lost;
-	duty_lease_add_listener(lease, &duty->lease_listener);
+	if (reports)
+		duty_lease_add_listener(lease, &duty->lease_listener);
 	duty->reports = counter_get(counters, "usage_reports_total");
 	duty->failed_reports =
 		counter_get(counters, "usage_reports_failed_total");
--- a/duty/usage_duty.h
+++ b/duty/usage_duty.h
@@ -38,11 +38,12 @@
 	struct counter *late_requests;
 };
 
+/* Without `reports` it does nothing: nobody asks for usage here. */
 void usage_duty_init(struct usage_duty *duty, struct topic_log *log,
 		     struct timer_service *timers, struct duty_lease *lease,
 		     struct duty_port *port, const char *holder,
 		     const char *writer_name, uint32_t window_s,
-		     uint32_t late_s, struct record_log *records,
+		     uint32_t late_s, int reports, struct record_log *records,
 		     struct counter_set *counters);
 void usage_duty_finish(struct usage_duty *duty);
 
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -13,6 +13,10 @@
 #include "policy/partition_owner.h"
 
 #define UPKEEP_PERIOD_NS (500 * NS_PER_MS)
+/* Old batches only cost memory; a look at all of them is not for each tick. */
+#define FORGET_PERIOD_NS (10 * NS_PER_S)
+/* Clocks of hosts differ by seconds. */
+#define FORGET_MARGIN_MS 10000
 /* Until the daemon is ready, callers may have no other one to ask. */
 #define UPKEEP_STARTING_NS (20 * NS_PER_MS)
 /* A backend server or the store is one or two milliseconds away. */
@@ -177,6 +181,22 @@
 		reload(daemon, "file_changed");
 }
 
+/* Results that may still be read stay, and so does what waits for them. */
+static void on_forget(void *arg, int64_t at_ns)
+{
+	struct entry_daemon *daemon = arg;
+	const struct entry_settings *settings = &daemon->settings;
+	int64_t kept_ms = settings->results_keep_ms;
+	int64_t stored_ms = (int64_t)settings->store_retention_s * 1000;
+	int64_t before_ms =
+		clock_wall_ms(&daemon->reactor.clock) - FORGET_MARGIN_MS;
+
+	(void)at_ns;
+	batch_set_forget(&daemon->batches, before_ms - kept_ms,
+			 before_ms -
+				 (stored_ms > kept_ms ? stored_ms : kept_ms));
+}
+
 static void on_hangup(void *arg)
 {
 	reload(arg, "signal");
@@ -403,7 +423,8 @@
 	usage_duty_init(&daemon->usage_duty, store, timers, &daemon->duty_lease,
 			&daemon->duty_calls.base, settings->name, writer,
 			settings->usage_window_s, settings->usage_late_s,
-			&daemon->log, &daemon->counters);
+			settings->reports_usage, &daemon->log,
+			&daemon->counters);
 	writer_name(daemon, "board", writer);
 	weight_board_init(&daemon->weight_board, store, timers, writer,
 			  &daemon->counters);
@@ -533,7 +554,8 @@
 	daemon->host_listener.changed = on_hosts_changed;
 	daemon->discovery.listener = &daemon->host_listener;
 	init_callers(daemon);
-	daemon->forwarder.runs = &daemon->usage_counter.base;
+	if (settings.reports_usage)
+		daemon->forwarder.runs = &daemon->usage_counter.base;
 	if (init_ports(daemon, err) || init_signals(daemon, err))
 		return -1;
 	operator_feed_start(&daemon->operator_feed);
@@ -542,6 +564,8 @@
 	duty_lease_start(&daemon->duty_lease);
 	weight_board_start(&daemon->weight_board);
 	subscribe_upkeep(daemon);
+	timer_subscribe(&daemon->reactor.timers, &daemon->forget,
+			FORGET_PERIOD_NS, on_forget, daemon);
 	return 0;
 }
 
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -61,6 +61,7 @@
 	struct net_server addresses;
 	struct net_server metrics;
 	struct timer upkeep;
+	struct timer forget;
 	struct timer stop;
 	struct event *signals[3];
 	int is_ready;
--- a/t/lib-duty-host.cc
+++ b/t/lib-duty-host.cc
@@ -284,8 +284,8 @@
 	usage_counter_init(&counter, topics->log(), timers, name.c_str(),
 			   incarnation, (writer + "c").c_str(), 5, &counters_);
 	usage_duty_init(&usage, topics->log(), timers, &lease, port,
-			name.c_str(), (writer + "u").c_str(), 5, 10, nullptr,
-			&counters_);
+			name.c_str(), (writer + "u").c_str(), 5, 10,
+			platform->wants_usage, nullptr, &counters_);
 	weight_board_init(&board, topics->log(), timers, (writer + "b").c_str(),
 			  &counters_);
 	version_duty_init(&versions, timers, &lease, &board, port, &fleet,
--- a/t/lib-duty-host.h
+++ b/t/lib-duty-host.h
@@ -58,6 +58,7 @@
 	std::vector<DutyCall> calls;
 	std::map<std::string, Engine> engines;
 	int64_t load_ms = 900;
+	bool wants_usage = true;
 	// Accepted figures by window; two different ones are a failure.
 	std::map<uint64_t, std::map<std::string, uint64_t>> reported;
 	std::map<std::string, uint32_t> ordered; // by data centre
--- a/t/test-batch-table.cc
+++ b/t/test-batch-table.cc
@@ -243,9 +243,12 @@
 		accepted_record("done", { "x" }),
 		result_record("done", 0, { 1 }),
 		accepted_record("ended", { "x" }), end_record("ended") });
-	batch_table_forget(&table_, 0);
+	batch_table_forget(&table_, 0, 0);
 	EXPECT_EQ(3u, table_.count);
-	batch_table_forget(&table_, 1);
+	batch_table_forget(&table_, 1, 0);
+	EXPECT_EQ(2u, table_.count);
+	EXPECT_EQ(nullptr, batch_table_find(&table_, "ended"));
+	batch_table_forget(&table_, 1, 1);
 	EXPECT_EQ(1u, table_.count);
 	EXPECT_NE(nullptr, batch_table_find(&table_, "open"));
 }
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -211,6 +211,20 @@
 
 // Answers are lost or late, the holder dies: one figure a window, reported
 // in time; the platform's stand-in checks for equal figures.
+TEST_F(Duties, DoNotReportUsageWhereNobodyAsksForIt)
+{
+	platform_.wants_usage = false;
+	add("a");
+	ASSERT_GE(wait_holder(), 0);
+	for (int step = 0; step < 300; step++) {
+		hosts_.back()->count_run("red");
+		time_.run(100);
+	}
+	EXPECT_TRUE(platform_.reported.empty());
+	for (const DutyCall &call : platform_.calls)
+		EXPECT_NE("usage", call.kind);
+}
+
 TEST_F(Duties, ReportTheSameFigureAgain)
 {
 	const ReportCase cases[] = {
