--- a/base/record_log.c
+++ b/base/record_log.c
@@ -198,7 +198,11 @@
 	if (!record->log)
 		return;
 	add_key(record, key);
-	snprintf(text, sizeof(text), "%.1f", (double)value_ns / NS_PER_MS);
+	if (value_ns == -1)
+		copy_text(text, sizeof(text), "-");
+	else
+		snprintf(text, sizeof(text), "%.1f",
+			 (double)value_ns / NS_PER_MS);
 	add(record, text, strlen(text));
 }
 
--- a/base/record_log.h
+++ b/base/record_log.h
@@ -57,7 +57,7 @@
 void record_int(struct record *record, const char *key, int64_t value);
 void record_number(struct record *record, const char *key, double value);
 
-/* Nanoseconds as milliseconds with one decimal. */
+/* Nanoseconds as milliseconds with one decimal; -1: not known, "-". */
 void record_ms(struct record *record, const char *key, int64_t value_ns);
 void record_end(struct record *record);
 
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -68,8 +68,17 @@
 static void refuse(struct batch_api *api, struct net_request *request,
 		   const char *batch, const struct refusal *refusal)
 {
+	struct record record;
+
 	counter_add(refusal->ran == RAN_NOT ? api->refused : api->unknown, 1);
-	report(api, "refused", batch, refusal->type, 0, age_ns(api, request));
+	record_begin(&record, api->log, "batch", "refused");
+	record_text(&record, "id", batch);
+	record_int(&record, "status", refusal->status);
+	record_text(&record, "reason", refusal->type);
+	record_int(&record, "may_have_run", refusal->ran != RAN_NOT);
+	record_ms(&record, "retry_after_ms", refusal->retry_after_ns);
+	record_ms(&record, "took_ms", age_ns(api, request));
+	record_end(&record);
 	answer_refusal(request, refusal);
 }
 
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -239,8 +239,24 @@
 	net_call_start(forwarder->pool, &try->net);
 }
 
+static void report_cancel(const struct forward_try *try)
+{
+	const struct forward *forward = try->forward;
+	struct forwarder *forwarder = forward->forwarder;
+	struct record record;
+
+	record_begin(&record, forwarder->log, "forward", "try_cancelled");
+	record_text(&record, "id", forward->caller.id);
+	record_text(&record, "server", try->server->entry.id);
+	record_int(&record, "received", (int64_t)try->net.received_bytes);
+	record_ms(&record, "took_ms",
+		  reactor_now_ns(forwarder->reactor) - try->began_ns);
+	record_end(&record);
+}
+
 void forward_try_cancel(struct forward_try *try)
 {
+	report_cancel(try);
 	circuit_withdrawn(&try->server->circuit,
 			  reactor_now_ns(try->forward->forwarder->reactor));
 	net_call_cancel(&try->net);
--- /dev/null
+++ b/t/test-server-feed.cc
@@ -0,0 +1,195 @@
+// The backend servers as the platform's store tells of them: entries that
+// come, change, lapse or are broken, and outages of the store.
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "t/lib-fake-topics.h"
+
+extern "C" {
+#include "platform/server_feed.h"
+}
+
+namespace
+{
+
+const char topic[] = "keyed.servers";
+
+std::string entry(const std::string &port, const std::string &state = "ready",
+		  const std::string &service = "s")
+{
+	return "{\"service\":\"" + service + "\",\"addr\":\"10.0.0.1:" + port +
+	       "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":4,"
+	       "\"state\":\"" +
+	       state + "\",\"cold_left_ms\":0,\"seq\":1,\"born\":" + port + "}";
+}
+
+class Feed : public ::testing::Test
+{
+      protected:
+	Feed() : topics_(&time_.timers)
+	{
+		fleet_init(&fleet_);
+		counter_set_init(&counters_);
+		server_feed_init(&feed_, topics_.log(), &time_.timers, &fleet_,
+				 nullptr, &counters_);
+	}
+
+	~Feed()
+	{
+		server_feed_finish(&feed_);
+		fleet_finish(&fleet_);
+		counter_set_finish(&counters_);
+	}
+
+	void put(const std::string &id, const std::string &value)
+	{
+		topics_.put(topic, id, value);
+	}
+
+	void drop(const std::string &id)
+	{
+		struct strbuf record;
+		const uint8_t *data;
+		size_t at = 0, len;
+
+		strbuf_init(&record);
+		topic_add_keyed(&record, id.c_str(), nullptr, 0);
+		ASSERT_TRUE(topic_next_record(&record, &at, &data, &len));
+		topics_.append(topic, 0, std::string((const char *)data, len));
+		strbuf_finish(&record);
+	}
+
+	void store_is(Fault fault)
+	{
+		topics_.faults = [fault](const std::string &,
+					 const std::string &) { return fault; };
+	}
+
+	std::set<std::string> known()
+	{
+		std::set<std::string> ids;
+
+		for (struct fleet_server *s = fleet_.first; s; s = s->next)
+			ids.insert(s->entry.id);
+		return ids;
+	}
+
+	FakeTime time_;
+	FakeTopics topics_;
+	struct fleet fleet_;
+	struct counter_set counters_;
+	struct server_feed feed_;
+};
+
+typedef std::set<std::string> Ids;
+
+} // namespace
+
+TEST_F(Feed, FollowsEntries)
+{
+	put("a", entry("1"));
+	server_feed_start(&feed_);
+	time_.run(1000);
+	EXPECT_EQ(Ids({ "a" }), known());
+	put("b", entry("2"));
+	put("a", entry("1", "draining"));
+	time_.run(1000);
+	EXPECT_EQ(Ids({ "a", "b" }), known());
+	EXPECT_TRUE(fleet_find(&fleet_, "a")->entry.leaving);
+	EXPECT_FALSE(
+		fleet_server_usable(fleet_find(&fleet_, "a"), time_.now_ns()));
+	drop("a");
+	time_.run(1000);
+	EXPECT_EQ(Ids({ "b" }), known());
+}
+
+// A server of another service may get the address of one that is gone.
+TEST_F(Feed, AnotherProcessUnderAnIdIsAnotherServer)
+{
+	struct fleet_server *before;
+
+	put("a", entry("1"));
+	server_feed_start(&feed_);
+	time_.run(1000);
+	before = fleet_server_hold(fleet_find(&fleet_, "a"));
+	put("a", entry("1", "ready", "other"));
+	time_.run(1000);
+	EXPECT_TRUE(before->gone);
+	EXPECT_STREQ("other", fleet_find(&fleet_, "a")->entry.service);
+	fleet_server_release(before);
+}
+
+TEST_F(Feed, ABrokenEntryHarmsNoOther)
+{
+	for (const char *broken : { "{", "[]", "{\"service\":1}" }) {
+		SCOPED_TRACE(broken);
+		put("a", entry("1"));
+		put("x", broken);
+		put("b", entry("2"));
+		if (!feed_.follower.is_listed)
+			server_feed_start(&feed_);
+		time_.run(1000);
+		EXPECT_EQ(Ids({ "a", "b" }), known());
+	}
+	EXPECT_EQ(3, counter_value(feed_.malformed));
+}
+
+// Entries lapse while the servers cannot renew them. Those that live are back
+// within two seconds of the store's return, the others are gone then.
+TEST_F(Feed, EntriesThatLapsedInAnOutageComeBackOrGo)
+{
+	for (Fault fault : { Fault::REFUSED, Fault::SILENT }) {
+		put("lives", entry("1"));
+		put("died", entry("2"));
+		if (!feed_.follower.is_listed)
+			server_feed_start(&feed_);
+		time_.run(2000);
+		ASSERT_EQ(Ids({ "lives", "died" }), known());
+		store_is(fault);
+		time_.run(7000);
+		EXPECT_EQ(Ids({ "lives", "died" }), known());
+		drop("lives");
+		drop("died");
+		topics_.faults = nullptr;
+		for (int step = 0; step < 19; step++) {
+			time_.run(100);
+			EXPECT_TRUE(known().count("lives")) << step;
+		}
+		put("lives", entry("1"));
+		time_.run(2600);
+		EXPECT_EQ(Ids({ "lives" }), known());
+	}
+}
+
+// History that was dropped means a new listing; what it lacks is gone.
+TEST_F(Feed, AListingAfterLostHistoryTakesOutWhatIsGone)
+{
+	put("a", entry("1"));
+	put("b", entry("2"));
+	server_feed_start(&feed_);
+	time_.run(1000);
+	store_is(Fault::REFUSED);
+	time_.run(3000);
+	drop("a");
+	put("c", entry("3"));
+	topics_.forget(topic, 0, topics_.partition(topic, 0).records.size());
+	topics_.faults = nullptr;
+	time_.run(6000);
+	EXPECT_EQ(0u, known().count("a"));
+	EXPECT_EQ(1u, known().count("c"));
+}
+
+TEST_F(Feed, AStaleAnswerTakesNothingBack)
+{
+	put("a", entry("1"));
+	server_feed_start(&feed_);
+	time_.run(1000);
+	put("a", entry("1", "draining"));
+	time_.run(1000);
+	ASSERT_TRUE(fleet_find(&fleet_, "a")->entry.leaving);
+	topics_.stale_records = 1;
+	time_.run(3000);
+	EXPECT_TRUE(fleet_find(&fleet_, "a")->entry.leaving);
+}
