forward: refuse a request that crashes the servers that run it

Cause: a request may take down each server that begins to run it, and comes again at any host. Only max_attempts bounded it, at each host and each time anew; by the platform's rules it may reach three more servers after its third crash became known.

Change: each host counts runs that were cut off without an answer, by a hash of team, path and body (policy/crash_list), and tells its counts in the notice that it writes twice a second anyway, so this costs no call. From three crashes on all hosts refuse the request for 30 s from the last one: 503, not run, with the time to come back. An answer clears it. Cuts less than half a second apart count once, so servers that are lost together don't make a suspect of a request whose tries met several of them. An item of a batch may not be given up for that; its pause doubles from the third cut in vain on, up to 5 s.

Ruled out: the product's own blame/, which places suspects alone and spreads hints over peers' connections, which aren't there; waiting until a lost server's entry lapses, which takes seconds and doesn't happen where it is back sooner.

Also: a notice that can't be read leaves a line now.

--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -15,6 +15,12 @@
 #define LOAD_MAX_NS (2500 * NS_PER_MS)
 /* An item whose run was cut waits this long, so that no loop spins. */
 #define CUT_PAUSE_NS (10 * NS_PER_MS)
+/*
+ * From then on each cut without a new event doubles the pause: the item may
+ * be what takes engines down. They come back after seconds.
+ */
+#define CUTS_IN_VAIN 3
+#define CUT_PAUSE_MAX_NS (5 * NS_PER_S)
 
 const char *runner_item_id(const struct run_item *item)
 {
@@ -236,6 +242,20 @@
 				    "failed_runs");
 }
 
+static void wait_after_cut(struct run_item *item, int64_t now_ns)
+{
+	int64_t pause_ns = CUT_PAUSE_NS;
+
+	if (item->made.last_event > item->cut_event)
+		item->cuts = 0;
+	item->cut_event = item->made.last_event;
+	item->cuts++;
+	for (uint32_t i = CUTS_IN_VAIN;
+	     i < item->cuts && pause_ns < CUT_PAUSE_MAX_NS; i++)
+		pause_ns *= 2;
+	item->not_before_ns = now_ns + pause_ns;
+}
+
 static void on_run_ended(struct item_run_owner *owner, struct item_run *run,
 			 enum item_run_end end)
 {
@@ -266,7 +286,7 @@
 	case ITEM_RUN_CUT:
 		circuit_failed(&run->engine->server->circuit, &runner->rng,
 			       now_ns);
-		item->not_before_ns = now_ns + CUT_PAUSE_NS;
+		wait_after_cut(item, now_ns);
 		break;
 	case ITEM_RUN_UNFIT:
 		engine_state_block(run->engine, run->model,
--- a/batch/run_item.h
+++ b/batch/run_item.h
@@ -36,6 +36,8 @@
 	struct item_text made;
 	uint32_t failed_runs; /* answers of the engine that it failed */
 	uint32_t runs; /* that were started */
+	uint32_t cuts; /* runs that broke off in a row, without a new event */
+	int64_t cut_event; /* the last event then */
 	uint64_t failed_at; /* hash of the last server's id where one failed */
 	int64_t not_before_ns; /* no run is started earlier */
 	struct item_run *run;
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -45,7 +45,20 @@
 	return bits;
 }
 
-static int read_notice(const Currant__Topic__HostNotice *notice,
+static void read_suspects(const Currant__Topic__HostNotice *notice, int64_t now,
+			  struct crash_list *crashes)
+{
+	for (size_t i = 0; i < notice->n_suspects && i < CRASH_LIST_MAX; i++) {
+		const Currant__Topic__CrashSuspect *from = notice->suspects[i];
+		struct crash_suspect *to = &crashes->suspects[i];
+
+		to->request = from->request;
+		to->crashes = from->crashes;
+		to->last_ns = now - from->age_ms * NS_PER_MS;
+	}
+}
+
+static int read_notice(const Currant__Topic__HostNotice *notice, int64_t now,
 		       struct entry_host *host)
 {
 	memset(host, 0, sizeof(*host));
@@ -55,6 +68,7 @@
 	host->partitions = partition_bits(notice);
 	host->cpu_milli = notice->cpu_milli;
 	host->period_ms = notice->period_ms;
+	read_suspects(notice, now, &host->crashes);
 	return copy_text(host->name, sizeof(host->name), notice->name) ||
 	       copy_text(host->data_centre, sizeof(host->data_centre),
 			 notice->data_centre) ||
@@ -78,6 +92,17 @@
 	record_end(&record);
 }
 
+static void report_malformed(struct discovery *discovery, const char *key,
+			     uint64_t offset)
+{
+	struct record record;
+
+	record_begin(&record, discovery->log, "hosts", "malformed");
+	record_text(&record, "name", key);
+	record_int(&record, "offset", (int64_t)offset);
+	record_end(&record);
+}
+
 static void on_put(struct keyed_follower *follower, const char *key,
 		   const void *value, size_t len, uint64_t offset)
 {
@@ -89,9 +114,11 @@
 	struct entry_host host;
 	int is_news;
 
-	if (!notice)
+	if (!notice) {
+		report_malformed(discovery, key, offset);
 		return;
-	if (!read_notice(notice, &host)) {
+	}
+	if (!read_notice(notice, now_ns(discovery), &host)) {
 		host.offset = offset;
 		is_news = !known || known->incarnation != host.incarnation ||
 			  known->ready != host.ready ||
@@ -122,9 +149,34 @@
 	.gap = on_gap,
 };
 
-static void pack_notice(const struct entry_host *own, struct strbuf *out)
+/* Crashes as old as they are now; returns how many are worth telling. */
+static size_t fill_suspects(const struct crash_list *crashes, int64_t now,
+			    Currant__Topic__CrashSuspect *out,
+			    Currant__Topic__CrashSuspect **list)
+{
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < CRASH_LIST_MAX; i++) {
+		const struct crash_suspect *from = &crashes->suspects[i];
+		Currant__Topic__CrashSuspect *to = &out[count];
+
+		if (!from->crashes || now - from->last_ns >= CRASH_MEMORY_NS)
+			continue;
+		currant__topic__crash_suspect__init(to);
+		to->request = from->request;
+		to->crashes = from->crashes;
+		to->age_ms = (uint32_t)((now - from->last_ns) / NS_PER_MS);
+		list[count++] = to;
+	}
+	return count;
+}
+
+static void pack_notice(const struct entry_host *own, int64_t now,
+			struct strbuf *out)
 {
 	Currant__Topic__HostNotice notice = CURRANT__TOPIC__HOST_NOTICE__INIT;
+	Currant__Topic__CrashSuspect *list[CRASH_LIST_MAX];
+	Currant__Topic__CrashSuspect suspects[CRASH_LIST_MAX];
 	uint32_t partitions[HOST_PARTITIONS_MAX];
 
 	notice.name = (char *)own->name;
@@ -136,6 +188,8 @@
 	notice.leaving = own->leaving;
 	notice.cpu_milli = own->cpu_milli;
 	notice.period_ms = own->period_ms;
+	notice.suspects = list;
+	notice.n_suspects = fill_suspects(&own->crashes, now, suspects, list);
 	notice.partitions = partitions;
 	for (uint32_t i = 0; i < HOST_PARTITIONS_MAX; i++)
 		if (own->partitions >> i & 1)
@@ -169,7 +223,7 @@
 		return;
 	write = xcalloc(1, sizeof(*write));
 	strbuf_init(&value);
-	pack_notice(&discovery->own, &value);
+	pack_notice(&discovery->own, now_ns(discovery), &value);
 	strbuf_init(&write->records);
 	topic_add_keyed(&write->records, discovery->own.name, value.buf,
 			value.len);
@@ -267,6 +321,12 @@
 	write_notice(discovery);
 }
 
+void discovery_set_crashes(struct discovery *discovery,
+			   const struct crash_list *crashes)
+{
+	discovery->own.crashes = *crashes;
+}
+
 /*
  * Notices are judged as of the last read, and as of the last one of this
  * host's own, so that nobody counts as dead while none can be read or written.
--- a/discovery/discovery.h
+++ b/discovery/discovery.h
@@ -39,6 +39,10 @@
 void discovery_set_leaving(struct discovery *discovery);
 void discovery_set_partitions(struct discovery *discovery, uint64_t partitions);
 
+/* Goes out with the next notice. */
+void discovery_set_crashes(struct discovery *discovery,
+			   const struct crash_list *crashes);
+
 /* Whether the host's notices come, as far as they could be read. */
 int discovery_is_alive(const struct discovery *discovery,
 		       const struct entry_host *host);
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -554,6 +554,10 @@
 	daemon->host_listener.changed = on_hosts_changed;
 	daemon->discovery.listener = &daemon->host_listener;
 	init_callers(daemon);
+	crash_watch_init(&daemon->crash_watch, &daemon->discovery,
+			 &daemon->reactor.clock, &daemon->log,
+			 &daemon->counters);
+	daemon->forwarder.crashes = &daemon->crash_watch;
 	if (settings.reports_usage)
 		daemon->forwarder.runs = &daemon->usage_counter.base;
 	if (init_ports(daemon, err) || init_signals(daemon, err))
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -60,6 +60,7 @@
 	struct net_server ready;
 	struct net_server addresses;
 	struct net_server metrics;
+	struct crash_watch crash_watch;
 	struct timer upkeep;
 	struct timer forget;
 	struct timer stop;
--- /dev/null
+++ b/forward/crash_watch.h
@@ -0,0 +1,42 @@
+#ifndef FORWARD_CRASH_WATCH_H
+#define FORWARD_CRASH_WATCH_H
+
+#include "base/record_log.h"
+#include "discovery/discovery.h"
+#include "policy/crash_list.h"
+
+/*
+ * Refuses requests that crash backend servers, by what this host and, through
+ * their notices, the other hosts have seen. See policy/crash_list.h.
+ */
+struct crash_watch {
+	struct crash_list seen; /* by this host */
+	struct discovery *discovery;
+	struct clock *clock;
+	struct record_log *log;
+	struct counter *crashes;
+	struct counter *refused;
+};
+
+void crash_watch_init(struct crash_watch *watch, struct discovery *discovery,
+		      struct clock *clock, struct record_log *log,
+		      struct counter_set *counters);
+
+/* Whether no host suspects any request: then none needs to be hashed. */
+int crash_watch_is_idle(const struct crash_watch *watch);
+
+/*
+ * How long the request (a hash) is still to be refused; 0: it may run. `id`
+ * is the caller's, for the log.
+ */
+int64_t crash_watch_refuses_ns(const struct crash_watch *watch,
+			       uint64_t request, const char *id);
+
+/* A run was cut off at the server without an answer. */
+void crash_watch_cut(struct crash_watch *watch, uint64_t request,
+		     const char *id, const char *server);
+
+/* A run came to an answer. */
+void crash_watch_answered(struct crash_watch *watch, uint64_t request);
+
+#endif
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 #include "entry/answers.h"
 #include "forward/forward_private.h"
 #include "policy/plain_choice.h"
@@ -161,6 +162,26 @@
 	return chosen < 0 ? NULL : servers[chosen];
 }
 
+uint64_t forward_hash(const struct forward *forward)
+{
+	const struct net_request *request = forward->request;
+	uint64_t hash = hash_text(forward->team ? forward->team->name : "", 0);
+
+	hash = hash_text(http_head_target(request->head), hash);
+	return hash_bytes(request->body.buf, request->body.len, hash);
+}
+
+/* How long the request is refused because it crashes servers; 0: it isn't. */
+static int64_t crash_refusal_ns(const struct forward *forward)
+{
+	const struct crash_watch *watch = forward->forwarder->crashes;
+
+	if (!watch || crash_watch_is_idle(watch))
+		return 0;
+	return crash_watch_refuses_ns(watch, forward_hash(forward),
+				      forward->caller.id);
+}
+
 static int may_repeat(const struct forward *forward)
 {
 	return forward->route->kind == REQUEST_IDEMPOTENT ||
@@ -281,7 +302,8 @@
 
 	count_run(try, outcome);
 	action = plan(forward, outcome);
-	if (action == ATTEMPT_AGAIN && !try_another(forward)) {
+	if (action == ATTEMPT_AGAIN &&
+	    (crash_refusal_ns(forward) || !try_another(forward))) {
 		if (forward->running > 1)
 			action = ATTEMPT_WAIT;
 		else if (outcome == ATTEMPT_FAILED)
@@ -395,6 +417,7 @@
 		   const struct entry_team *team)
 {
 	struct forward *forward = xcalloc(1, sizeof(*forward));
+	int64_t refused_ns;
 
 	forward->owner.vt = &owner_vtable;
 	forward->forwarder = forwarder;
@@ -415,7 +438,12 @@
 	forwarder->running++;
 	request->owner = &forward->owner;
 	set_timers(forward);
-	if (!try_another(forward))
+	refused_ns = crash_refusal_ns(forward);
+	if (refused_ns)
+		refuse_not_run(forward, "crashes_servers",
+			       "servers that ran this request were lost",
+			       refused_ns);
+	else if (!try_another(forward))
 		give_up(forward, ATTEMPT_NOT_SENT);
 }
 
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -7,6 +7,7 @@
 #include "entry/caller_request.h"
 #include "entry/config_holder.h"
 #include "fleet/fleet.h"
+#include "forward/crash_watch.h"
 #include "net/net_client.h"
 #include "net/net_server.h"
 
@@ -31,6 +32,7 @@
 	struct config_holder *config;
 	struct record_log *log;
 	struct run_counter *runs; /* may be NULL */
+	struct crash_watch *crashes; /* may be NULL */
 	const char *data_centre;
 	struct rng rng;
 	struct forward *first;
--- a/forward/forward_private.h
+++ b/forward/forward_private.h
@@ -78,6 +78,9 @@
 /* Passes on what came; -1 if the stream is broken. */
 int forward_stream(struct forward_try *try, const char *data, size_t len);
 
+/* Hash of who asks for what: the same for each time that a caller asks. */
+uint64_t forward_hash(const struct forward *forward);
+
 /* Whether the request's answer is a stream of events. */
 int forward_is_stream(const struct forward *forward);
 
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -121,6 +121,23 @@
 		try->server->saw_leaving = 1;
 }
 
+/* A run that broke off may have taken its server down. */
+static void learn_crash(const struct forward_try *try,
+			enum attempt_outcome outcome, enum net_outcome net)
+{
+	const struct forward *forward = try->forward;
+	struct crash_watch *watch = forward->forwarder->crashes;
+
+	if (!watch)
+		return;
+	if (outcome == ATTEMPT_LOST && net == NET_CUT)
+		crash_watch_cut(watch, forward_hash(forward),
+				forward->caller.id, try->server->entry.id);
+	else if ((outcome == ATTEMPT_ANSWERED || outcome == ATTEMPT_FAILED) &&
+		 !crash_watch_is_idle(watch))
+		crash_watch_answered(watch, forward_hash(forward));
+}
+
 static void report_end(const struct forward_try *try,
 		       enum attempt_outcome outcome, enum net_outcome net)
 {
@@ -146,6 +163,7 @@
 	enum attempt_outcome outcome = judge(try, net_outcome);
 
 	learn_health(try, outcome);
+	learn_crash(try, outcome, net_outcome);
 	report_end(try, outcome, net_outcome);
 	forward_on_try_end(try, outcome);
 }
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &currant__topic__host_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__topic__crash_suspect__init
+                     (Currant__Topic__CrashSuspect         *message)
+{
+  static const Currant__Topic__CrashSuspect init_value = CURRANT__TOPIC__CRASH_SUSPECT__INIT;
+  *message = init_value;
+}
+size_t currant__topic__crash_suspect__get_packed_size
+                     (const Currant__Topic__CrashSuspect *message)
+{
+  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__crash_suspect__pack
+                     (const Currant__Topic__CrashSuspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__crash_suspect__pack_to_buffer
+                     (const Currant__Topic__CrashSuspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__CrashSuspect *
+       currant__topic__crash_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__CrashSuspect *)
+     protobuf_c_message_unpack (&currant__topic__crash_suspect__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__crash_suspect__free_unpacked
+                     (Currant__Topic__CrashSuspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__topic__duty_claim__init
                      (Currant__Topic__DutyClaim         *message)
 {
@@ -862,7 +907,7 @@
   assert(message->base.descriptor == &currant__topic__item_text__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor currant__topic__host_notice__field_descriptors[10] =
+static const ProtobufCFieldDescriptor currant__topic__host_notice__field_descriptors[11] =
 {
   {
     "name",
@@ -984,6 +1029,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Topic__HostNotice, n_suspects),
+    offsetof(Currant__Topic__HostNotice, suspects),
+    &currant__topic__crash_suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__host_notice__field_indices_by_name[] = {
   3,   /* field[3] = caller_address */
@@ -996,11 +1053,12 @@
   9,   /* field[9] = period_ms */
   5,   /* field[5] = ready */
   2,   /* field[2] = region */
+  10,   /* field[10] = suspects */
 };
 static const ProtobufCIntRange currant__topic__host_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor currant__topic__host_notice__descriptor =
 {
@@ -1010,13 +1068,77 @@
   "Currant__Topic__HostNotice",
   "currant.topic",
   sizeof(Currant__Topic__HostNotice),
-  10,
+  11,
   currant__topic__host_notice__field_descriptors,
   currant__topic__host_notice__field_indices_by_name,
   1,  currant__topic__host_notice__number_ranges,
   (ProtobufCMessageInit) currant__topic__host_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__topic__crash_suspect__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__CrashSuspect, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__CrashSuspect, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__CrashSuspect, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__crash_suspect__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange currant__topic__crash_suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor currant__topic__crash_suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.CrashSuspect",
+  "CrashSuspect",
+  "Currant__Topic__CrashSuspect",
+  "currant.topic",
+  sizeof(Currant__Topic__CrashSuspect),
+  3,
+  currant__topic__crash_suspect__field_descriptors,
+  currant__topic__crash_suspect__field_indices_by_name,
+  1,  currant__topic__crash_suspect__number_ranges,
+  (ProtobufCMessageInit) currant__topic__crash_suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__topic__duty_claim__field_descriptors[5] =
 {
   {
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Currant__Topic__HostNotice Currant__Topic__HostNotice;
+typedef struct Currant__Topic__CrashSuspect Currant__Topic__CrashSuspect;
 typedef struct Currant__Topic__DutyClaim Currant__Topic__DutyClaim;
 typedef struct Currant__Topic__WeightNeed Currant__Topic__WeightNeed;
 typedef struct Currant__Topic__WeightLoad Currant__Topic__WeightLoad;
@@ -78,10 +79,33 @@
    * until its next notice
    */
   uint32_t period_ms;
+  size_t n_suspects;
+  Currant__Topic__CrashSuspect **suspects;
 };
 #define CURRANT__TOPIC__HOST_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__host_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+
+
+/*
+ * A request whose runs were cut off at servers that this host sent it to.
+ */
+struct  Currant__Topic__CrashSuspect
+{
+  ProtobufCMessage base;
+  /*
+   * hash of who asks for what
+   */
+  uint64_t request;
+  uint32_t crashes;
+  /*
+   * of the last one
+   */
+  uint32_t age_ms;
+};
+#define CURRANT__TOPIC__CRASH_SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__crash_suspect__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -528,6 +552,25 @@
 void   currant__topic__host_notice__free_unpacked
                      (Currant__Topic__HostNotice *message,
                       ProtobufCAllocator *allocator);
+/* Currant__Topic__CrashSuspect methods */
+void   currant__topic__crash_suspect__init
+                     (Currant__Topic__CrashSuspect         *message);
+size_t currant__topic__crash_suspect__get_packed_size
+                     (const Currant__Topic__CrashSuspect   *message);
+size_t currant__topic__crash_suspect__pack
+                     (const Currant__Topic__CrashSuspect   *message,
+                      uint8_t             *out);
+size_t currant__topic__crash_suspect__pack_to_buffer
+                     (const Currant__Topic__CrashSuspect   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__CrashSuspect *
+       currant__topic__crash_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__crash_suspect__free_unpacked
+                     (Currant__Topic__CrashSuspect *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Topic__DutyClaim methods */
 void   currant__topic__duty_claim__init
                      (Currant__Topic__DutyClaim         *message);
@@ -875,6 +918,9 @@
 typedef void (*Currant__Topic__HostNotice_Closure)
                  (const Currant__Topic__HostNotice *message,
                   void *closure_data);
+typedef void (*Currant__Topic__CrashSuspect_Closure)
+                 (const Currant__Topic__CrashSuspect *message,
+                  void *closure_data);
 typedef void (*Currant__Topic__DutyClaim_Closure)
                  (const Currant__Topic__DutyClaim *message,
                   void *closure_data);
@@ -937,6 +983,7 @@
 
 extern const ProtobufCEnumDescriptor    currant__topic__item_state__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__host_notice__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__crash_suspect__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__duty_claim__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__weight_need__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__weight_load__descriptor;
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "lib-fake-engine.h"
+#include "lib-fake-topics.h"
 
 extern "C" {
 #include "entry/caller_port.h"
@@ -500,3 +501,45 @@
 	EXPECT_GE(took_ms, 790);
 	EXPECT_LE(took_ms, 1300);
 }
+
+// A caller sends a request that takes each server down, again and again.
+TEST_F(Forward, RefusesARequestThatCrashesServers)
+{
+	FakeTopics topics(&loop_.reactor.timers);
+	struct discovery discovery;
+	struct entry_host own = {};
+	struct crash_watch watch;
+	std::string answer;
+	size_t reached = 0;
+
+	discovery_init(&discovery, topics.log(), &loop_.reactor.timers, &own,
+		       nullptr, &counters_);
+	crash_watch_init(&watch, &discovery, &loop_.reactor.clock, nullptr,
+			 &counters_);
+	forwarder_.crashes = &watch;
+	configure();
+	ServerReply crash;
+	crash.cut = true;
+	add("a", [crash](const ServerSaw &saw) {
+		return saw.target == "/o/bad" ? crash : ServerReply();
+	});
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ(502, status(ask(request("/o/bad"))));
+		loop_.run_for(CRASH_APART_NS / NS_PER_MS + 50);
+	}
+	reached = servers_[0]->seen.size();
+	EXPECT_EQ(3u, reached);
+	answer = ask(request("/o/bad"));
+	EXPECT_EQ(503, status(answer));
+	EXPECT_NE(std::string::npos, answer.find("Retry-After: "));
+	EXPECT_NE(std::string::npos, answer.find("crashes_servers"));
+	EXPECT_EQ(reached, servers_[0]->seen.size());
+	// The server is asked again once its circuit closes.
+	for (int i = 0; i < 50 && status(answer) != 200; i++) {
+		answer = ask(request("/o/good"));
+		loop_.run_for(100);
+	}
+	EXPECT_EQ(200, status(answer));
+	EXPECT_EQ(503, status(ask(request("/o/bad"))));
+	discovery_finish(&discovery);
+}
