duty: report a window as soon as it is closed

The window was closed at 17.81 s, the store went away at 18.0 s, and the holder sent the figures only with its next tick, which came after its lease had ended for want of renewal. The next holder could read the log at 25.1 s, a second after the report was due.

Change: once a close stands in the log the holder goes on at once instead of with the next tick, and so it does after each note of a report.

Ruled out: sending without the lease, since another holder may have acted in between; closing earlier, since late sums would be missing.

Result: Duties.ReportAWindowAsSoonAsItIsClosed fails before (250 ms from close to report) and passes (50 ms at most).

--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -65,6 +65,9 @@
 	       (int64_t)(duty->late_s * 1000 * GRACE_PART);
 }
 
+static void go_on(struct usage_duty *duty);
+
+/* What was closed goes out at once: the store may be gone by the next tick. */
 static void on_written(struct topic_write *write,
 		       enum topic_write_outcome outcome)
 {
@@ -75,6 +78,7 @@
 					&write->records);
 	duty->writing = 0;
 	topic_write_free(write);
+	go_on(duty);
 }
 
 static void write_record(struct usage_duty *duty,
@@ -216,11 +220,8 @@
 		close_window(duty);
 }
 
-static void on_tick(void *arg, int64_t now_ns)
+static void go_on(struct usage_duty *duty)
 {
-	struct usage_duty *duty = arg;
-
-	(void)now_ns;
 	if (!is_active(duty) || is_busy(duty))
 		return;
 	if (!usage_ledger_next_report(&duty->ledger) && !close_is_due(duty))
@@ -229,6 +230,12 @@
 	topic_follower_refresh(&duty->follower, &duty->refresh);
 }
 
+static void on_tick(void *arg, int64_t now_ns)
+{
+	(void)now_ns;
+	go_on(arg);
+}
+
 static struct usage_duty *listening(struct duty_lease_listener *listener)
 {
 	return (struct usage_duty *)((char *)listener -
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -225,6 +225,32 @@
 		EXPECT_NE("usage", call.kind);
 }
 
+// Between the two the store may go away, and the lease with it.
+TEST_F(Duties, ReportAWindowAsSoonAsItIsClosed)
+{
+	size_t closes = 0;
+	int64_t closed_ms = -1;
+
+	add("a");
+	ASSERT_GE(wait_holder(), 0);
+	for (int64_t at_ms = 0; at_ms < 40000; at_ms += 10) {
+		size_t reports = platform_.reported.size();
+		size_t records = topics_.partition("usage", 0).records.size();
+
+		time_.run(10);
+		if (records != topics_.partition("usage", 0).records.size() &&
+		    closed_ms < 0)
+			closed_ms = at_ms;
+		if (reports == platform_.reported.size())
+			continue;
+		EXPECT_LE(at_ms - closed_ms, 50);
+		closed_ms = -1;
+		closes++;
+		time_.run(100); // the note that it was reported
+	}
+	EXPECT_GE(closes, 5u);
+}
+
 TEST_F(Duties, ReportTheSameFigureAgain)
 {
 	const ReportCase cases[] = {
