fleet: find hosts and servers by hash, and spare entries that say the same

Twice a second the keeper of partitions asked for each of 12 partitions whether any other host lives that runs it; each such question looked this host's own notice up in a list of all hosts, so the work grew with the square of the hosts.

Change: hosts and servers are found by hash. The keeper makes one pass over the hosts a tick and looks only at partitions whose owner doesn't live. A report that differs from the last one in its count alone, by a hash of its text, renews the entry without being decoded.

Ruled out: longer pauses between notices, which would tell deaths later.

Tests of the feed, discovery and batches as before.

--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -60,32 +60,41 @@
 	return age_ms > known_ms ? age_ms : known_ms;
 }
 
-static int owns(const struct entry_host *host,
-		const struct kept_partition *kept)
+static int is_other_and_alive(const struct partition_keeper *keeper,
+			      const struct entry_host *host)
 {
-	const struct batch_table *table = &kept->partition->table;
+	return strcmp(host->name, own_host(keeper)->name) && !host->leaving &&
+	       discovery_is_alive(keeper->discovery, host);
+}
+
+/* Bits of the partitions that other hosts say they run. */
+static uint64_t run_elsewhere(const struct partition_keeper *keeper)
+{
+	uint64_t bits = 0;
 
-	return (!strcmp(host->name, table->owner) &&
-		host->incarnation == table->owner_incarnation) ||
-	       (kept->partition->number < HOST_PARTITIONS_MAX &&
-		host->partitions >> kept->partition->number & 1);
+	for (const struct entry_host *h = keeper->discovery->hosts.first; h;
+	     h = h->next)
+		if (h->partitions && is_other_and_alive(keeper, h))
+			bits |= h->partitions;
+	return bits;
 }
 
 /* By the log as far as it was read, or by the notices of hosts. */
-static int owner_is_alive(const struct kept_partition *kept)
+static int owner_is_alive(const struct kept_partition *kept, uint64_t elsewhere)
 {
 	const struct partition_keeper *keeper = kept->keeper;
 	const struct batch_table *table = &kept->partition->table;
+	const struct entry_host *owner;
 
 	if (table->owner[0] && strcmp(table->owner, own_host(keeper)->name) &&
 	    claim_age_ms(kept) < CLAIM_SHOWS_LIFE_MS)
 		return 1;
-	for (const struct entry_host *h = keeper->discovery->hosts.first; h;
-	     h = h->next)
-		if (strcmp(h->name, own_host(keeper)->name) && !h->leaving &&
-		    discovery_is_alive(keeper->discovery, h) && owns(h, kept))
-			return 1;
-	return 0;
+	if (kept->partition->number < HOST_PARTITIONS_MAX &&
+	    elsewhere >> kept->partition->number & 1)
+		return 1;
+	owner = host_table_find(&keeper->discovery->hosts, table->owner);
+	return owner && owner->incarnation == table->owner_incarnation &&
+	       is_other_and_alive(keeper, owner);
 }
 
 static void view_hosts(const struct kept_partition *kept,
@@ -123,7 +132,8 @@
 	memset(view, 0, sizeof(*view));
 	view->is_ready = own->ready && !kept->keeper->leaving;
 	view->owner_is_self = owner_is_self(kept);
-	view->owner_is_alive = owner_is_alive(kept);
+	view->owner_is_alive =
+		owner_is_alive(kept, run_elsewhere(kept->keeper));
 	view->own_cpu_milli = own->cpu_milli;
 	view_hosts(kept, view);
 }
@@ -231,16 +241,17 @@
 }
 
 /* Reads a partition that nobody runs, if this host is the first to do so. */
-static void check(struct kept_partition *kept)
+static void check(struct kept_partition *kept, uint64_t elsewhere)
 {
 	struct owner_view view;
 
 	if (kept->refreshing || kept->claim ||
-	    batch_runner_has(kept->keeper->runner, kept->partition))
+	    batch_runner_has(kept->keeper->runner, kept->partition) ||
+	    now_ns(kept->keeper) - kept->checked_ns < READ_PERIOD_NS ||
+	    owner_is_alive(kept, elsewhere))
 		return;
 	view_owner(kept, &view);
-	if (!view.is_ready || view.owner_is_alive || !view.is_first ||
-	    now_ns(kept->keeper) - kept->checked_ns < READ_PERIOD_NS)
+	if (!view.is_ready || view.owner_is_alive || !view.is_first)
 		return;
 	kept->checked_ns = now_ns(kept->keeper);
 	kept->refreshing = 1;
@@ -257,13 +268,15 @@
 static void on_timer(void *arg, int64_t at_ns)
 {
 	struct partition_keeper *keeper = arg;
+	uint64_t elsewhere;
 
 	(void)at_ns;
 	if (keeper->leaving)
 		return;
+	elsewhere = run_elsewhere(keeper);
 	for (uint32_t i = 0; i < keeper->set->count; i++) {
 		renew_if_due(&keeper->kept[i]);
-		check(&keeper->kept[i]);
+		check(&keeper->kept[i], elsewhere);
 	}
 }
 
--- a/discovery/host_table.c
+++ b/discovery/host_table.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 
 /* Periods without a notice after which a host counts as dead. */
 #define MISSED_PERIODS 2.5
@@ -14,10 +15,19 @@
 	memset(table, 0, sizeof(*table));
 }
 
+static uint32_t bucket_of(const char *name)
+{
+	return hash_text(name, 0) % HOST_TABLE_BUCKETS;
+}
+
 static void remove_at(struct host_table *table, struct entry_host **at)
 {
 	struct entry_host *host = *at;
+	struct entry_host **in_bucket = &table->buckets[bucket_of(host->name)];
 
+	while (*in_bucket != host)
+		in_bucket = &(*in_bucket)->next_in_bucket;
+	*in_bucket = host->next_in_bucket;
 	*at = host->next;
 	free(host);
 	table->count--;
@@ -29,52 +39,65 @@
 		remove_at(table, &table->first);
 }
 
-static struct entry_host **find_place(struct host_table *table,
-				      const char *name)
+static struct entry_host *find(const struct host_table *table, const char *name)
 {
-	struct entry_host **at = &table->first;
+	struct entry_host *host = table->buckets[bucket_of(name)];
 
-	while (*at && strcmp((*at)->name, name))
-		at = &(*at)->next;
-	return at;
+	while (host && strcmp(host->name, name))
+		host = host->next_in_bucket;
+	return host;
 }
 
 const struct entry_host *host_table_find(const struct host_table *table,
 					 const char *name)
 {
-	const struct entry_host *host = table->first;
+	return find(table, name);
+}
 
-	while (host && strcmp(host->name, name))
-		host = host->next;
+static struct entry_host *add_host(struct host_table *table, const char *name)
+{
+	struct entry_host **bucket = &table->buckets[bucket_of(name)];
+	struct entry_host **at = &table->first;
+	struct entry_host *host = xcalloc(1, sizeof(*host));
+
+	while (*at)
+		at = &(*at)->next;
+	*at = host;
+	host->next_in_bucket = *bucket;
+	*bucket = host;
+	table->count++;
 	return host;
 }
 
 void host_table_put(struct host_table *table, const struct entry_host *notice,
 		    int64_t now_ns)
 {
-	struct entry_host **at = find_place(table, notice->name);
-	struct entry_host *next = NULL;
+	struct entry_host *host = find(table, notice->name);
+	struct entry_host *next, *next_in_bucket;
 
-	if (*at && notice->offset <= (*at)->offset)
+	if (host && notice->offset <= host->offset)
 		return;
-	if (*at) {
-		next = (*at)->next;
-	} else {
-		*at = xcalloc(1, sizeof(**at));
-		table->count++;
-	}
-	**at = *notice;
-	(*at)->next = next;
-	(*at)->heard_ns = now_ns;
+	if (!host)
+		host = add_host(table, notice->name);
+	next = host->next;
+	next_in_bucket = host->next_in_bucket;
+	*host = *notice;
+	host->next = next;
+	host->next_in_bucket = next_in_bucket;
+	host->heard_ns = now_ns;
 }
 
 void host_table_drop(struct host_table *table, const char *name,
 		     uint64_t offset)
 {
-	struct entry_host **at = find_place(table, name);
+	const struct entry_host *host = find(table, name);
+	struct entry_host **at = &table->first;
 
-	if (*at && offset >= (*at)->offset)
-		remove_at(table, at);
+	if (!host || offset < host->offset)
+		return;
+	while (*at != host)
+		at = &(*at)->next;
+	remove_at(table, at);
 }
 
 void host_table_excuse(struct host_table *table, int64_t away_ns)
--- a/discovery/host_table.h
+++ b/discovery/host_table.h
@@ -30,10 +30,14 @@
 	uint64_t offset; /* of its newest notice */
 	int64_t heard_ns; /* when that was read */
 	struct entry_host *next;
+	struct entry_host *next_in_bucket;
 };
 
+#define HOST_TABLE_BUCKETS 128
+
 struct host_table {
 	struct entry_host *first;
+	struct entry_host *buckets[HOST_TABLE_BUCKETS]; /* by name */
 	uint32_t count;
 };
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 
 void fleet_init(struct fleet *fleet)
 {
@@ -36,11 +37,31 @@
 		l->changed(l, server);
 }
 
-static void take_out(struct fleet *fleet, struct fleet_server **at)
+static struct fleet_server **bucket_of(struct fleet *fleet, const char *id)
 {
-	struct fleet_server *server = *at;
+	return &fleet->buckets[hash_text(id, 0) % FLEET_BUCKETS];
+}
+
+static void take_out_of_bucket(struct fleet *fleet, struct fleet_server *server)
+{
+	struct fleet_server **at = bucket_of(fleet, server->entry.id);
+
+	while (*at != server)
+		at = &(*at)->next_in_bucket;
+	*at = server->next_in_bucket;
+}
 
-	*at = server->next;
+/* `before` stands before the server in the list; NULL: it is the first. */
+static void take_out(struct fleet *fleet, struct fleet_server *before,
+		     struct fleet_server *server)
+{
+	if (before)
+		before->next = server->next;
+	else
+		fleet->first = server->next;
+	if (fleet->last == server)
+		fleet->last = before;
+	take_out_of_bucket(fleet, server);
 	server->next = NULL;
 	server->gone = 1;
 	fleet->count--;
@@ -53,31 +74,44 @@
 {
 	fleet->listeners = NULL; /* they are finished by now */
 	while (fleet->first)
-		take_out(fleet, &fleet->first);
+		take_out(fleet, NULL, fleet->first);
 }
 
-static struct fleet_server **find_place(struct fleet *fleet, const char *id)
+struct fleet_server *fleet_find(struct fleet *fleet, const char *id)
 {
-	struct fleet_server **at = &fleet->first;
+	struct fleet_server *server = *bucket_of(fleet, id);
 
-	while (*at && strcmp((*at)->entry.id, id))
-		at = &(*at)->next;
-	return at;
+	while (server && strcmp(server->entry.id, id))
+		server = server->next_in_bucket;
+	return server;
 }
 
-struct fleet_server *fleet_find(struct fleet *fleet, const char *id)
+static struct fleet_server *find_before(const struct fleet *fleet,
+					const struct fleet_server *server)
 {
-	return *find_place(fleet, id);
+	struct fleet_server *before = fleet->first;
+
+	if (before == server)
+		return NULL;
+	while (before->next != server)
+		before = before->next;
+	return before;
 }
 
-static struct fleet_server *add_server(struct fleet *fleet,
-				       struct fleet_server **at)
+static struct fleet_server *add_server(struct fleet *fleet, const char *id)
 {
 	struct fleet_server *server = xcalloc(1, sizeof(*server));
+	struct fleet_server **bucket = bucket_of(fleet, id);
 
 	server->references = 1;
 	circuit_init(&server->circuit);
-	*at = server;
+	if (fleet->last)
+		fleet->last->next = server;
+	else
+		fleet->first = server;
+	fleet->last = server;
+	server->next_in_bucket = *bucket;
+	*bucket = server;
 	fleet->count++;
 	return server;
 }
@@ -94,8 +128,7 @@
 void fleet_put(struct fleet *fleet, struct server_entry *entry, uint64_t offset,
 	       int64_t now_ns)
 {
-	struct fleet_server **at = find_place(fleet, entry->id);
-	struct fleet_server *server = *at;
+	struct fleet_server *server = fleet_find(fleet, entry->id);
 
 	if (server && offset < server->offset) {
 		server->listed = 1;
@@ -103,12 +136,11 @@
 		return;
 	}
 	if (server && is_other_process(server, entry)) {
-		take_out(fleet, at);
-		at = find_place(fleet, entry->id);
+		take_out(fleet, find_before(fleet, server), server);
 		server = NULL;
 	}
 	if (!server)
-		server = add_server(fleet, at);
+		server = add_server(fleet, entry->id);
 	server_entry_finish(&server->entry);
 	server->entry = *entry;
 	server->offset = offset;
@@ -118,23 +150,41 @@
 	tell_changed(fleet, server);
 }
 
-static void doom(struct fleet *fleet, struct fleet_server **at, int64_t now_ns)
+int fleet_renew(struct fleet *fleet, const char *id, uint64_t text_hash,
+		uint64_t offset)
 {
-	struct fleet_server *server = *at;
+	struct fleet_server *server = fleet_find(fleet, id);
+
+	if (!server || !text_hash || server->text_hash != text_hash)
+		return 0;
+	server->listed = 1;
+	if (offset < server->offset)
+		return 1;
+	server->offset = offset;
+	server->doomed_ns = 0;
+	return 1;
+}
 
-	if (now_ns >= fleet->hold_until_ns)
-		take_out(fleet, at);
-	else if (!server->doomed_ns)
+/* Returns whether the server is out of the table now. */
+static int doom(struct fleet *fleet, struct fleet_server *before,
+		struct fleet_server *server, int64_t now_ns)
+{
+	if (now_ns >= fleet->hold_until_ns) {
+		take_out(fleet, before, server);
+		return 1;
+	}
+	if (!server->doomed_ns)
 		server->doomed_ns = fleet->hold_until_ns;
+	return 0;
 }
 
 void fleet_drop(struct fleet *fleet, const char *id, uint64_t offset,
 		int64_t now_ns)
 {
-	struct fleet_server **at = find_place(fleet, id);
+	struct fleet_server *server = fleet_find(fleet, id);
 
-	if (*at && offset >= (*at)->offset)
-		doom(fleet, at, now_ns);
+	if (server && offset >= server->offset)
+		doom(fleet, find_before(fleet, server), server, now_ns);
 }
 
 void fleet_begin_listing(struct fleet *fleet)
@@ -145,15 +195,16 @@
 
 void fleet_end_listing(struct fleet *fleet, uint64_t offset, int64_t now_ns)
 {
-	struct fleet_server **at = &fleet->first;
+	struct fleet_server *before = NULL;
+	struct fleet_server *server = fleet->first;
 
-	while (*at) {
-		struct fleet_server *server = *at;
+	while (server) {
+		struct fleet_server *next = server->next;
 
-		if (!server->listed && server->offset < offset)
-			doom(fleet, at, now_ns);
-		if (*at == server)
-			at = &server->next;
+		if (server->listed || server->offset >= offset ||
+		    !doom(fleet, before, server, now_ns))
+			before = server;
+		server = next;
 	}
 }
 
@@ -165,15 +216,17 @@
 
 void fleet_tick(struct fleet *fleet, int64_t now_ns)
 {
-	struct fleet_server **at = &fleet->first;
+	struct fleet_server *before = NULL;
+	struct fleet_server *server = fleet->first;
 
-	while (*at) {
-		struct fleet_server *server = *at;
+	while (server) {
+		struct fleet_server *next = server->next;
 
 		if (server->doomed_ns && now_ns >= server->doomed_ns)
-			take_out(fleet, at);
+			take_out(fleet, before, server);
 		else
-			at = &server->next;
+			before = server;
+		server = next;
 	}
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -32,7 +32,9 @@
 	int64_t learned_ns; /* when the entry changed last */
 	uint32_t references;
 	void *engine; /* of the scheduler of batches; may be NULL */
+	uint64_t text_hash; /* of the entry as it was written; 0: not known */
 	struct fleet_server *next;
+	struct fleet_server *next_in_bucket;
 };
 
 struct fleet;
@@ -48,8 +50,12 @@
 	struct fleet_listener *next;
 };
 
+#define FLEET_BUCKETS 1024
+
 struct fleet {
 	struct fleet_server *first;
+	struct fleet_server *last;
+	struct fleet_server *buckets[FLEET_BUCKETS]; /* by id */
 	uint32_t count;
 	int64_t hold_until_ns; /* vanished entries are kept until then */
 	struct fleet_listener *listeners;
@@ -63,6 +69,14 @@
 void fleet_put(struct fleet *fleet, struct server_entry *entry, uint64_t offset,
 	       int64_t now_ns);
 
+/*
+ * Takes over an entry that says the same as the one before, by a hash of its
+ * text; returns 0 if it doesn't. Spares decoding: a server says the same once
+ * a second as long as it lives.
+ */
+int fleet_renew(struct fleet *fleet, const char *id, uint64_t text_hash,
+		uint64_t offset);
+
 /* The entry was dropped, or names no server that can be used. */
 void fleet_drop(struct fleet *fleet, const char *id, uint64_t offset,
 		int64_t now_ns);
