--- a/policy/partition_owner.c
+++ b/policy/partition_owner.c
@@ -26,13 +26,10 @@
 	       log(draw(candidate->name, partition));
 }
 
-/* Whether `a` comes before `b`. */
-static int goes_before(const struct owner_candidate *a,
-		       const struct owner_candidate *b, uint32_t partition)
+/* Whether `a` comes before `b`, by their scores. */
+static int goes_before(const struct owner_candidate *a, double score_a,
+		       const struct owner_candidate *b, double score_b)
 {
-	double score_a = score(a, partition);
-	double score_b = score(b, partition);
-
 	if (score_a != score_b)
 		return score_a > score_b;
 	return strcmp(a->name, b->name) < 0;
@@ -41,13 +38,21 @@
 int32_t partition_owner_rank(const struct owner_candidate *candidates,
 			     uint32_t count, uint32_t partition)
 {
+	double best_score = 0;
 	int32_t best = -1;
 
-	for (uint32_t i = 0; i < count; i++)
-		if (candidates[i].takes_calls &&
-		    (best < 0 ||
-		     goes_before(&candidates[i], &candidates[best], partition)))
-			best = (int32_t)i;
+	for (uint32_t i = 0; i < count; i++) {
+		double own;
+
+		if (!candidates[i].takes_calls)
+			continue;
+		own = score(&candidates[i], partition);
+		if (best >= 0 && !goes_before(&candidates[i], own,
+					      &candidates[best], best_score))
+			continue;
+		best = (int32_t)i;
+		best_score = own;
+	}
 	return best;
 }
 
@@ -56,14 +61,19 @@
 				  const char *name)
 {
 	const struct owner_candidate *own = NULL;
+	double own_score = 0;
 	uint32_t before = 0;
 
 	for (uint32_t i = 0; i < count; i++)
 		if (!strcmp(candidates[i].name, name))
 			own = &candidates[i];
+	if (own)
+		own_score = score(own, partition);
 	for (uint32_t i = 0; i < count; i++)
 		if (candidates[i].takes_calls &&
-		    (!own || goes_before(&candidates[i], own, partition)))
+		    (!own || goes_before(&candidates[i],
+					 score(&candidates[i], partition), own,
+					 own_score)))
 			before++;
 	return before;
 }
