soak: play faults around real daemons and check what everybody sees

From a seed it draws 4 to 15 faults in six seconds, in series and overlapping: SIGKILL, SIGSTOP, SIGTERM, SIGHUP and restarts, the loss of all daemons at once, links to the store and to servers that are silent, cut one way, slow or reset (a loopback proxy), servers that die and come back, and a store that refuses, falls silent, loses answers, carries appends out late, answers stale or forgets history. It checks while it runs: whole and own answers, order of streams, not-run true, at most once, nothing changed or smuggled, positions and texts of results, completeness, no run after an end, one figure a window, one holder a fence, planned stops without a cut, no daemon that ends by itself, and recovery.

Clocks are not stepped: the daemon reads the host's.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make test       installs what is missing, builds, runs all tests
 #   make demo       installs what is missing, builds, runs the whole system
 #   make proofs     the promises under failure (docs/PROOFS.md)
+#   make soak       the fault soak: N=50 new seeds, or one with SEED=n
 #   make bench      policy measurements, one JSON object a line
 #   make bench-capacity   slopes for docs/CAPACITY.md, of real processors
 #   make bench-daemon  running daemons, one JSON object a line
@@ -59,16 +60,18 @@
 TEST_SRC = $(wildcard t/test-*.cc)
 TEST_BIN = $(TEST_SRC:t/%.cc=$(BUILD)/t/%)
 T_SUPPORT = $(patsubst %.cc,$(BUILD)/%.o,$(wildcard t/lib-*.cc))
+SOAK_OBJ = $(patsubst %.cc,$(BUILD)/%.o,$(wildcard soak/*.cc))
 PROGRAMS = $(if $(wildcard currantd.c),$(BUILD)/currantd) \
 	   $(BUILD)/currant-entryd \
 	   $(if $(wildcard currant.c),$(BUILD)/currant) \
 	   $(if $(STANDIN_SRC),$(BUILD)/currant-standin)
 OWN_C = $(filter-out proto/%,$(LIB_SRC)) $(CLIENT_SRC) $(wildcard currant*d.c) \
 	$(STANDIN_SRC) $(BENCH_SRC)
+TEST_CXX = $(wildcard t/*.cc t/*.h soak/*.cc soak/*.h)
 OWN_H = $(filter-out %.pb-c.h,$(wildcard */*.h))
 
 .DEFAULT_GOAL = all
-.PHONY: all deps build-tests test demo proofs proofs-repeat bench \
+.PHONY: all deps build-tests test demo soak proofs proofs-repeat bench \
 	bench-table bench-capacity bench-daemon lint format proto clean
 .SECONDARY:
 
@@ -120,6 +123,15 @@
 	@echo CXX $@
 	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
 
+$(BUILD)/soak/%.o: soak/%.cc
+	@mkdir -p $(@D)
+	@echo CXX $@
+	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/currant-soak: $(SOAK_OBJ) $(T_SUPPORT) $(LIB)
+	@echo LINK $@
+	@$(CXX) $(CXXFLAGS) -o $@ $^ -lgtest $(LIBS)
+
 $(BUILD)/t/test-%: $(BUILD)/t/test-%.o $(T_SUPPORT) $(LIB)
 	@echo LINK $@
 	@$(CXX) $(CXXFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS)
@@ -143,6 +155,10 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@standin/demo $(BUILD)
 
+FROM = new
+soak: $(BUILD)/currant-soak $(BUILD)/currant-entryd
+	@soak/run $(BUILD) $(if $(SEED),$(SEED),$(FROM) $(N))
+
 bench: $(BUILD)/currant-bench
 	@$(BUILD)/currant-bench
 
@@ -159,13 +175,13 @@
 	@bench/run-daemon $(BUILD) weights 3 9
 
 lint:
-	@clang-format --dry-run -Werror $(OWN_C) $(OWN_H) $(wildcard t/*.cc t/*.h)
+	@clang-format --dry-run -Werror $(OWN_C) $(OWN_H) $(TEST_CXX)
 	@printf '%s\n' $(OWN_C) | xargs -P $$(nproc) -n 4 \
 		sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 \
 			2>/dev/null' tidy
 
 format:
-	clang-format -i $(OWN_C) $(OWN_H) $(wildcard t/*.cc t/*.h)
+	clang-format -i $(OWN_C) $(OWN_H) $(TEST_CXX)
 
 proto:
 	protoc-c --c_out=. proto/*.proto
--- /dev/null
+++ b/soak/world.h
@@ -0,0 +1,78 @@
+#ifndef SOAK_WORLD_H
+#define SOAK_WORLD_H
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/callers.h"
+#include "soak/proxy.h"
+#include "soak/store_standin.h"
+#include "t/lib-fake-engine.h"
+#include "t/lib-process.h"
+
+// Daemons as processes of their own, and all that is outside of them.
+class World
+{
+      public:
+	static const int DAEMONS = 3;
+	static const int PLAIN_SERVERS = 2;
+	static const int ENGINES = 3;
+
+	explicit World(uint64_t seed);
+	~World();
+
+	// Runs one seed's plan; false if a promise was broken.
+	bool run(bool with_faults, const std::string &plant);
+	// History and the daemons' lines, for whoever traces a failure.
+	void keep(const std::string &folder) const;
+
+	const std::vector<std::string> &violations() const
+	{
+		return history_.violations;
+	}
+
+      private:
+	struct Daemon;
+	struct Engine;
+	struct Fault {
+		int64_t at_ms;
+		std::string name;
+		std::function<void()> act;
+	};
+
+	void configure();
+	void start_daemon(int number, bool first);
+	void add_engine(int number, const std::string &service);
+	void enter(Engine *engine);
+	void leave(Engine *engine);
+	bool wait_ready();
+	void plan();
+	void add(int64_t at_ms, const std::string &name,
+		 const std::function<void()> &act);
+	void disturb(int daemon, int64_t for_ms);
+	void plan_daemon(int64_t at_ms, int daemon);
+	void plan_store(int64_t at_ms);
+	void plan_server(int64_t at_ms);
+	void plan_power_loss(int64_t at_ms);
+	void play(int64_t until_ms);
+	void look_after_daemons();
+	void check_recovery();
+
+	uint64_t seed_;
+	struct rng rng_;
+	TempDir dir_;
+	TestReactor loop_;
+	History history_;
+	StoreStandin store_;
+	Weather weather_;
+	std::vector<std::unique_ptr<Daemon>> daemons_;
+	std::vector<std::unique_ptr<Engine>> engines_;
+	std::unique_ptr<Callers> callers_;
+	std::vector<Fault> faults_;
+	int64_t began_ms_ = 0;
+	int64_t faults_end_ms_ = 0;
+};
+
+#endif
