--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -4,13 +4,18 @@
 #include "batch/batch_runner_private.h"
 #include "platform/batch_codec.h"
 
+/* The store of today takes some 5 ms; a reader asks twice a second. */
+#define STORED_LATE_NS (500 * NS_PER_MS)
+
 /* A result or a note of progress on its way: first its text, then its record.
  */
 struct outgoing {
 	struct batch_runner *runner;
 	struct batch_partition *partition;
 	char *batch;
+	char *item_id;
 	uint32_t item;
+	int64_t made_ns; /* when it was handed to the store */
 	int is_progress;
 	enum batch_item_state state;
 	const char *reason; /* a constant; NULL: none */
@@ -28,15 +33,33 @@
 	struct outgoing *out = arg;
 
 	free(out->batch);
+	free(out->item_id);
 	free(out);
 }
 
+/* Why a result that was there came late to its reader. */
+static void report_stored_late(const struct outgoing *out, int64_t waited_ns)
+{
+	struct record record;
+
+	record_begin(&record, out->runner->log, "items", "stored_late");
+	record_text(&record, "batch", out->batch);
+	record_text(&record, "item", out->item_id);
+	record_ms(&record, "waited_ms", waited_ns);
+	record_end(&record);
+}
+
 /* The table has told everybody by now, or a refresh will. */
 static void on_record_stored(struct batch_write *write,
 			     enum topic_write_outcome outcome)
 {
+	struct outgoing *out = write->arg;
+	int64_t waited_ns = runner_now_ns(out->runner) - out->made_ns;
+
 	(void)outcome;
-	free_outgoing(write->arg);
+	if (!out->is_progress && waited_ns > STORED_LATE_NS)
+		report_stored_late(out, waited_ns);
+	free_outgoing(out);
 	batch_write_free(write);
 }
 
@@ -134,6 +157,8 @@
 	out->runner = runner;
 	out->partition = item->owner->owned->partition;
 	out->batch = xstrdup(item->owner->batch->id);
+	out->item_id = xstrdup(runner_item_id(item));
+	out->made_ns = runner_now_ns(runner);
 	out->item = item->number;
 	out->last_event = item->made.last_event;
 	out->failed_runs = item->failed_runs;
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -125,8 +125,7 @@
 	       server->entry.born_ms != entry->born_ms;
 }
 
-void fleet_put(struct fleet *fleet, struct server_entry *entry, uint64_t offset,
-	       int64_t now_ns)
+void fleet_put(struct fleet *fleet, struct server_entry *entry, uint64_t offset)
 {
 	struct fleet_server *server = fleet_find(fleet, entry->id);
 
@@ -146,7 +145,6 @@
 	server->offset = offset;
 	server->listed = 1;
 	server->doomed_ns = 0;
-	server->learned_ns = now_ns;
 	tell_changed(fleet, server);
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -29,7 +29,6 @@
 	uint32_t running; /* requests of this daemon */
 	struct fleet_load load; /* by its answers */
 	struct circuit circuit;
-	int64_t learned_ns; /* when the entry changed last */
 	uint32_t references;
 	void *engine; /* of the scheduler of batches; may be NULL */
 	uint64_t text_hash; /* of the entry as it was written; 0: not known */
@@ -66,8 +65,8 @@
 void fleet_add_listener(struct fleet *fleet, struct fleet_listener *listener);
 
 /* Takes over an entry, whose memory it takes; an older one is ignored. */
-void fleet_put(struct fleet *fleet, struct server_entry *entry, uint64_t offset,
-	       int64_t now_ns);
+void fleet_put(struct fleet *fleet, struct server_entry *entry,
+	       uint64_t offset);
 
 /*
  * Takes over an entry that says the same as the one before, by a hash of its
--- a/t/lib-duty-host.cc
+++ b/t/lib-duty-host.cc
@@ -339,7 +339,7 @@
 	copy_text(entry.models[1].name, sizeof(entry.models[1].name), "n");
 	entry.models[0].version = entry.models[1].version = version;
 	entry.model_count = 2;
-	fleet_put(&fleet, &entry, ++offset_, time_->now_ns());
+	fleet_put(&fleet, &entry, ++offset_);
 }
 
 void DutyHost::name_version(const std::string &model, uint64_t version)
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -69,7 +69,7 @@
 		entry.models[0].version = version;
 		entry.model_count = 1;
 	}
-	fleet_put(fleet, &entry, ++offset_, reactor_now_ns(&loop_->reactor));
+	fleet_put(fleet, &entry, ++offset_);
 }
 
 static std::string field(const struct http_head *head, const char *name)
