entry: part a daemon's own life from putting it together

Readiness, rank, reload, forgetting and the graceful stop are in entry_life.c now; nothing else has changed. The soak's trainers stand apart from its callers.

--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -1,24 +1,15 @@
 #include "entry/entry_daemon.h"
 
 #include <inttypes.h>
-#include <signal.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include "base/alloc.h"
+#include "entry/entry_life.h"
 #include "platform/settings_decode.h"
-#include "policy/partition_owner.h"
-
-#define UPKEEP_PERIOD_NS (500 * NS_PER_MS)
-/* Old batches only cost memory; a look at all of them is not for each tick. */
-#define FORGET_PERIOD_NS (10 * NS_PER_S)
-/* Clocks of hosts differ by seconds. */
-#define FORGET_MARGIN_MS 10000
-/* Until the daemon is ready, callers may have no other one to ask. */
-#define UPKEEP_STARTING_NS (20 * NS_PER_MS)
+
 /* A backend server or the store is one or two milliseconds away. */
 #define CONNECT_TIMEOUT_NS (250 * NS_PER_MS)
 /* Where the other side does not say how long it keeps a connection. */
@@ -34,38 +25,6 @@
 #define SERVICE_IDLE_NS (10 * NS_PER_S)
 /* Callers keep an answer with addresses up to three times as long. */
 #define ADDRESS_KEEP_MS 1000
-/* The end of a graceful stop: idle connections close, then the rest. */
-#define STOP_IDLE_MS 1200
-#define STOP_LAST_MS 500
-#define STOP_POLL_NS (50 * NS_PER_MS)
-/* Rank among the hosts for the duties; partitions have smaller numbers. */
-#define DUTY_RANK 1000000
-/* How many hosts may claim the duties, and how far apart they do. */
-#define DUTY_CANDIDATES 5
-#define DUTY_STEP_NS (250 * NS_PER_MS)
-#define HOSTS_RANKED 512
-
-static int64_t now_ns(struct entry_daemon *daemon)
-{
-	return reactor_now_ns(&daemon->reactor);
-}
-
-static void report_life(struct entry_daemon *daemon, const char *event,
-			const char *reason)
-{
-	struct record record;
-
-	record_begin_essential(&record, &daemon->log, "daemon", event);
-	record_text(&record, "data_centre", daemon->settings.data_centre);
-	record_int(&record, "incarnation", (int64_t)(daemon->incarnation >> 1));
-	record_int(&record, "config",
-		   daemon->config.current
-			   ? (int64_t)daemon->config.current->version
-			   : -1);
-	record_int(&record, "running", daemon->forwarder.running);
-	record_text(&record, "reason", reason);
-	record_end(&record);
-}
 
 static struct net_limits caller_limits(const struct entry_daemon *daemon,
 				       const struct caller_limits *limits)
@@ -94,171 +53,6 @@
 	daemon->callers.limits = caller_limits(daemon, &config->limits);
 }
 
-static void update_ready(struct entry_daemon *daemon)
-{
-	int ready = daemon->config.current &&
-		    daemon->server_feed.follower.is_listed &&
-		    discovery_is_listed(&daemon->discovery) && !daemon->leaving;
-
-	if (ready == daemon->is_ready)
-		return;
-	daemon->is_ready = ready;
-	daemon->service_port.ready = ready;
-	discovery_set_ready(&daemon->discovery, ready);
-	report_life(daemon, ready ? "ready" : "not_ready", NULL);
-}
-
-/* The strongest hosts by rank claim the duties first. */
-static void update_rank(struct entry_daemon *daemon)
-{
-	struct owner_candidate candidates[HOSTS_RANKED];
-	const struct host_table *hosts = &daemon->discovery.hosts;
-	uint32_t count = 0;
-	uint32_t position;
-
-	for (const struct entry_host *h = hosts->first;
-	     h && count < HOSTS_RANKED; h = h->next) {
-		candidates[count].name = h->name;
-		candidates[count].cpu_milli = h->cpu_milli;
-		candidates[count].takes_calls =
-			discovery_takes_calls(&daemon->discovery, h);
-		count++;
-	}
-	position = partition_owner_position(candidates, count, DUTY_RANK,
-					    daemon->settings.name);
-	duty_lease_set_wanted(&daemon->duty_lease,
-			      daemon->is_ready && position < DUTY_CANDIDATES,
-			      position * DUTY_STEP_NS);
-}
-
-static int64_t file_mtime_ns(const char *path)
-{
-	struct stat info;
-
-	if (stat(path, &info))
-		return 0;
-	return info.st_mtim.tv_sec * NS_PER_S + info.st_mtim.tv_nsec;
-}
-
-/* What may change while the daemon runs: where the platform is, bounds. */
-static void reload(struct entry_daemon *daemon, const char *reason)
-{
-	struct entry_settings settings;
-	struct error err = ERROR_INIT;
-
-	daemon->settings_mtime_ns = file_mtime_ns(daemon->settings_path);
-	if (platform_settings_read_file(daemon->settings_path, &settings,
-					&err)) {
-		report_life(daemon, "reload_failed", err.text);
-		return;
-	}
-	daemon->settings = settings;
-	copy_text(daemon->store.address, sizeof(daemon->store.address),
-		  settings.store);
-	report_life(daemon, "reloaded", reason);
-}
-
-static void on_upkeep(void *arg, int64_t at_ns);
-
-static void subscribe_upkeep(struct entry_daemon *daemon)
-{
-	timer_subscribe_once(&daemon->reactor.timers, &daemon->upkeep,
-			     daemon->is_ready || daemon->leaving
-				     ? UPKEEP_PERIOD_NS
-				     : UPKEEP_STARTING_NS,
-			     on_upkeep, daemon);
-}
-
-static void on_upkeep(void *arg, int64_t at_ns)
-{
-	struct entry_daemon *daemon = arg;
-
-	(void)at_ns;
-	update_ready(daemon);
-	update_rank(daemon);
-	subscribe_upkeep(daemon);
-	if (file_mtime_ns(daemon->settings_path) != daemon->settings_mtime_ns)
-		reload(daemon, "file_changed");
-}
-
-/* Results that may still be read stay, and so does what waits for them. */
-static void on_forget(void *arg, int64_t at_ns)
-{
-	struct entry_daemon *daemon = arg;
-	const struct entry_settings *settings = &daemon->settings;
-	int64_t kept_ms = settings->results_keep_ms;
-	int64_t stored_ms = (int64_t)settings->store_retention_s * 1000;
-	int64_t before_ms =
-		clock_wall_ms(&daemon->reactor.clock) - FORGET_MARGIN_MS;
-
-	(void)at_ns;
-	batch_set_forget(&daemon->batches, before_ms - kept_ms,
-			 before_ms -
-				 (stored_ms > kept_ms ? stored_ms : kept_ms));
-}
-
-static void on_hangup(void *arg)
-{
-	reload(arg, "signal");
-}
-
-static int is_quiet(const struct entry_daemon *daemon)
-{
-	return !daemon->callers.busy_count;
-}
-
-static void on_stop_step(void *arg, int64_t at_ns)
-{
-	struct entry_daemon *daemon = arg;
-	int64_t left_ms = daemon->settings.grace_ms -
-			  (at_ns - daemon->leaving_since_ns) / NS_PER_MS;
-
-	if (left_ms <= STOP_IDLE_MS)
-		net_server_close_idle(&daemon->callers);
-	if ((left_ms <= STOP_IDLE_MS && is_quiet(daemon)) ||
-	    left_ms <= STOP_LAST_MS) {
-		report_life(daemon, "stopped",
-			    is_quiet(daemon) ? "quiet" : "time_over");
-		reactor_stop(&daemon->reactor);
-		return;
-	}
-	timer_subscribe_once(&daemon->reactor.timers, &daemon->stop,
-			     STOP_POLL_NS, on_stop_step, daemon);
-}
-
-/*
- * Callers go on using the addresses that they were told, so the daemon serves
- * until its grace is nearly over, while nobody is told its address any more.
- */
-static void on_terminate(void *arg)
-{
-	struct entry_daemon *daemon = arg;
-
-	if (daemon->leaving)
-		return;
-	daemon->leaving = 1;
-	daemon->leaving_since_ns = now_ns(daemon);
-	report_life(daemon, "stopping", "signal");
-	update_ready(daemon);
-	discovery_set_leaving(&daemon->discovery);
-	partition_keeper_leave(&daemon->partition_keeper);
-	duty_lease_release(&daemon->duty_lease);
-	usage_counter_flush(&daemon->usage_counter);
-	net_server_drain(&daemon->callers);
-	on_stop_step(daemon, daemon->leaving_since_ns);
-}
-
-static int init_signals(struct entry_daemon *daemon, struct error *err)
-{
-	signal(SIGPIPE, SIG_IGN);
-	return reactor_on_signal(&daemon->reactor, SIGTERM, on_terminate,
-				 daemon, &daemon->signals[0], err) ||
-	       reactor_on_signal(&daemon->reactor, SIGINT, on_terminate, daemon,
-				 &daemon->signals[1], err) ||
-	       reactor_on_signal(&daemon->reactor, SIGHUP, on_hangup, daemon,
-				 &daemon->signals[2], err);
-}
-
 static void init_store(struct entry_daemon *daemon)
 {
 	const struct entry_settings *settings = &daemon->settings;
@@ -535,14 +329,13 @@
 		      settings_path))
 		return error_set(err, ERROR_INVALID,
 				 "the path of the settings is too long");
-	daemon->settings_mtime_ns = file_mtime_ns(settings_path);
 	random_bytes(&daemon->incarnation, sizeof(daemon->incarnation));
 	if (reactor_init(&daemon->reactor, err))
 		return -1;
 	counter_set_init(&daemon->counters);
 	record_log_init(&daemon->log, STDOUT_FILENO, settings.name,
 			&daemon->reactor.timers, &daemon->counters);
-	report_life(daemon, "start", NULL);
+	entry_report_life(daemon, "start", NULL);
 	config_holder_init(&daemon->config, &daemon->log);
 	daemon->config.changed = on_config;
 	daemon->config.arg = daemon;
@@ -560,16 +353,14 @@
 	daemon->forwarder.crashes = &daemon->crash_watch;
 	if (settings.reports_usage)
 		daemon->forwarder.runs = &daemon->usage_counter.base;
-	if (init_ports(daemon, err) || init_signals(daemon, err))
+	if (init_ports(daemon, err) || entry_life_init(daemon, err))
 		return -1;
 	operator_feed_start(&daemon->operator_feed);
 	server_feed_start(&daemon->server_feed);
 	discovery_start(&daemon->discovery);
 	duty_lease_start(&daemon->duty_lease);
 	weight_board_start(&daemon->weight_board);
-	subscribe_upkeep(daemon);
-	timer_subscribe(&daemon->reactor.timers, &daemon->forget,
-			FORGET_PERIOD_NS, on_forget, daemon);
+	entry_life_start(daemon);
 	return 0;
 }
 
@@ -604,9 +395,7 @@
 	fleet_finish(&daemon->fleet);
 	config_holder_finish(&daemon->config);
 	named_versions_finish(&daemon->named);
-	for (uint32_t i = 0; i < ARRAY_SIZE(daemon->signals); i++)
-		if (daemon->signals[i])
-			reactor_off_signal(daemon->signals[i]);
+	entry_life_finish(daemon);
 	record_log_finish(&daemon->log);
 	counter_set_finish(&daemon->counters);
 	reactor_finish(&daemon->reactor);
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -1,23 +1,8 @@
-#include "soak/callers.h"
+#include "soak/call.h"
 
-#include <jansson.h>
-
-#include <algorithm>
-
-extern "C" {
-#include "net/net_client.h"
-}
-
-/* Beyond these a host counts as in touch again, and settled. */
-static const int64_t CONTACT_MS = 3000;
-static const int64_t SETTLE_MS = 1000;
-static const int64_t CANCEL_MS = 3000;
 static const int64_t SINGLE_PERIOD_NS = 15 * NS_PER_MS;
 static const int64_t TRAINER_PERIOD_NS = 60 * NS_PER_MS;
 static const int64_t CALL_TIMEOUT_NS = 4 * NS_PER_S;
-static const int64_t SUBMIT_FOR_MS = 8000;
-static const uint32_t OPEN_BATCHES = 12;
-static const int64_t KEPT_MS = 3000; // some batches are read again for long
 static const int EVENTS = 3; // of a single request's stream
 
 const std::vector<std::string> planted_faults = {
@@ -31,20 +16,6 @@
 	       now_ms > store_disturbed_until_ms + CONTACT_MS;
 }
 
-struct Callers::Call {
-	struct net_call net;
-	Callers *self;
-	std::string what; // single, submit, read, end
-	std::string id;
-	int daemon;
-	std::string address, head, body, answer;
-	int status = 0;
-	bool stamped = false; // by an engine
-	size_t from = 0; // of a read
-	int64_t sent_ms;
-	struct timer timer = {};
-};
-
 struct CallHooks {
 	static Callers::Call *of(struct net_call *net)
 	{
@@ -198,11 +169,6 @@
 	return call;
 }
 
-static uint32_t pick(struct rng *rng, uint32_t count)
-{
-	return (uint32_t)(rng_unit(rng) * count) % count;
-}
-
 // Half of the callers keep their connection to one daemon, others change.
 void Callers::send_single()
 {
@@ -329,222 +295,6 @@
 	check_single(*call, single, status);
 }
 
-void Callers::on_trainer(void *arg, int64_t)
-{
-	Callers *self = (Callers *)arg;
-	uint32_t open = 0;
-
-	for (auto &entry : self->batches_) {
-		TrainerBatch *batch = entry.second.get();
-
-		open += batch->ended_ms < 0 && !batch->given_up;
-		if (!batch->busy && pick(&self->rng_, 3) == 0)
-			self->step(batch);
-	}
-	if (self->sending_ && open < OPEN_BATCHES && pick(&self->rng_, 4) == 0)
-		self->submit_new();
-}
-
-void Callers::submit_new()
-{
-	std::string id = "b" + std::to_string(next_++);
-	std::unique_ptr<TrainerBatch> batch(new TrainerBatch());
-
-	batch->id = id;
-	batch->events = 5 + (int)pick(&rng_, 40);
-	batch->submitted_ms = history_->now_ms();
-	batch->end_early = pick(&rng_, 6) == 0;
-	batch->kept_ms = pick(&rng_, 3) == 0 ? KEPT_MS : 0;
-	for (int i = 0; i < 6; i++) {
-		batch->items.push_back(id + "-" + std::to_string(i));
-		by_item_[batch->items.back()] = batch.get();
-	}
-	submit(batch.get());
-	batches_[id] = std::move(batch);
-}
-
-static std::string submission(const TrainerBatch &batch)
-{
-	std::string out = "{\"step\":1,\"model\":\"m\",\"min_version\":1,"
-			  "\"target_groups\":3,\"items\":[";
-
-	for (size_t i = 0; i < batch.items.size(); i++)
-		out += std::string(i ? "," : "") + "{\"id\":\"" +
-		       batch.items[i] +
-		       "\",\"path\":\"/b/x\",\"headers\":{\"X-Model\":\"m\","
-		       "\"X-Token-Count\":\"10,100\",\"X-Prompt-Prefix\":"
-		       "\"ab:10\"},\"body\":\"Ym9keQ==\",\"tokens\":50,"
-		       "\"group\":\"" +
-		       batch.id + "g" + std::to_string(i / 2) + "\"}";
-	return out + "]}";
-}
-
-void Callers::submit(TrainerBatch *batch)
-{
-	batch->busy = true;
-	call("submit", (int)pick(&rng_, (uint32_t)daemons_.size()),
-	     "POST /b/ HTTP/1.1\r\nX-Attempt-Id: " + batch->id +
-		     "\r\nX-Deadline-Ms: 1500\r\n",
-	     submission(*batch))
-		->id = batch->id;
-}
-
-void Callers::on_submit(Call *call, int status)
-{
-	TrainerBatch *batch = batches_[call->id].get();
-
-	batch->busy = false;
-	history_->note("submit " + call->id + " at " +
-		       std::to_string(call->daemon) + " status " +
-		       std::to_string(status));
-	if (status == 202 && batch->accepted_ms < 0)
-		batch->accepted_ms = history_->now_ms();
-	else if (status != 202 && status != 429 && status != 503)
-		batch->maybe_accepted = true;
-	if (status >= 400 && status < 500 && status != 429)
-		history_->violation("DENIED: batch " + call->id + " got " +
-				    std::to_string(status));
-}
-
-// What a trainer does next about a batch.
-void Callers::step(TrainerBatch *batch)
-{
-	int64_t now_ms = history_->now_ms();
-
-	if (batch->ended_ms >= 0 || batch->given_up)
-		return;
-	if (batch->accepted_ms < 0) {
-		if (now_ms < batch->submitted_ms + SUBMIT_FOR_MS) {
-			submit(batch);
-			return;
-		}
-		batch->given_up = true;
-		batch->refused = !batch->maybe_accepted;
-		return;
-	}
-	if (batch->end_early && !batch->listed.empty())
-		end(batch);
-	else if (batch->listed.size() < batch->items.size())
-		read(batch, pick(&rng_, 8) == 0);
-	else if (now_ms < batch->accepted_ms + batch->kept_ms)
-		read(batch, true);
-	else
-		end(batch);
-}
-
-void Callers::read(TrainerBatch *batch, bool from_start)
-{
-	size_t from = from_start ? 0 : batch->listed.size();
-	Call *made;
-
-	batch->busy = true;
-	made = call("read", (int)pick(&rng_, (uint32_t)daemons_.size()),
-		    "GET /v1/lots/" + batch->id +
-			    "?after=" + std::to_string(from) +
-			    " HTTP/1.1\r\nX-Wait-Ms: 500\r\n",
-		    "");
-	made->id = batch->id;
-	made->from = from;
-}
-
-static std::string item_text(const std::string &item, int events)
-{
-	std::string out;
-
-	for (int i = 1; i <= events; i++)
-		out += (i > 1 ? "\n" : "") + item + "." + std::to_string(i);
-	return out;
-}
-
-void Callers::take_results(TrainerBatch *batch, size_t from,
-			   const std::string &body)
-{
-	json_t *root = json_loadb(body.data(), body.size(), 0, nullptr);
-	json_t *results = json_object_get(root, "results");
-	json_t *result;
-	size_t at;
-
-	if (json_integer_value(json_object_get(root, "total")) !=
-	    (json_int_t)batch->items.size())
-		history_->violation("MIXED: total of " + batch->id);
-	json_array_foreach (results, at, result) {
-		std::string item =
-			json_string_value(json_object_get(result, "id"));
-		std::string text =
-			json_string_value(json_object_get(result, "text"));
-		std::string state =
-			json_string_value(json_object_get(result, "state"));
-		std::string entry = item + " " + text;
-		size_t position = from + at;
-
-		if (position + 1 == batch->listed.size() &&
-		    takes_plant("moved_position"))
-			entry = batch->items[0] + " other";
-		if (by_item_.count(item) == 0 || by_item_[item] != batch)
-			history_->violation("MIXED: " + item + " in " +
-					    batch->id);
-		if (state != "complete")
-			history_->violation("MIXED: " + item + " is " + state);
-		if (text != item_text(item, batch->events))
-			history_->violation("ORDER: " + item + " has '" + text +
-					    "'");
-		if (position < batch->listed.size()) {
-			if (batch->listed[position] != entry)
-				history_->violation("TWICE: position " +
-						    std::to_string(position) +
-						    " of " + batch->id +
-						    " has changed");
-			continue;
-		}
-		for (const std::string &known : batch->listed)
-			if (known == entry)
-				history_->violation("TWICE: " + item +
-						    " is listed again");
-		batch->listed.push_back(entry);
-	}
-	json_decref(root);
-}
-
-void Callers::on_read(Call *call, int status)
-{
-	TrainerBatch *batch = batches_[call->id].get();
-	int64_t now_ms = history_->now_ms();
-
-	batch->busy = false;
-	history_->note("read " + call->id + " from " +
-		       std::to_string(call->from) + " at " +
-		       std::to_string(call->daemon) + " status " +
-		       std::to_string(status));
-	if (status == 200 && now_ms > batch->accepted_ms + SETTLE_MS &&
-	    takes_plant("lost_batch"))
-		status = 404;
-	if (status == 200)
-		take_results(batch, call->from, call->answer);
-	else if ((status == 404 || status == 410) &&
-		 now_ms > batch->accepted_ms + SETTLE_MS &&
-		 weather_->is_calm(call->daemon, now_ms))
-		history_->violation("LOST: batch " + call->id +
-				    " is not known");
-}
-
-void Callers::end(TrainerBatch *batch)
-{
-	batch->busy = true;
-	call("end", (int)pick(&rng_, (uint32_t)daemons_.size()),
-	     "DELETE /v1/lots/" + batch->id + " HTTP/1.1\r\n", "")
-		->id = batch->id;
-}
-
-void Callers::on_end(Call *call, int status)
-{
-	TrainerBatch *batch = batches_[call->id].get();
-
-	batch->busy = false;
-	history_->note("end " + call->id + " status " + std::to_string(status));
-	if (status == 200 && batch->ended_ms < 0)
-		batch->ended_ms = history_->now_ms();
-}
-
 bool Callers::is_settled() const
 {
 	for (const auto &entry : batches_)
