--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -20,5 +20,7 @@
 int cmd_addresses(int argc, char **argv);
 int cmd_timeline(int argc, char **argv);
 int cmd_health(int argc, char **argv);
+int cmd_explain(int argc, char **argv);
+int cmd_report(int argc, char **argv);
 
 #endif
--- a/currant.c
+++ b/currant.c
@@ -16,6 +16,7 @@
 	{ "run", cmd_run },	      { "show", cmd_show },
 	{ "check", cmd_check },	      { "addresses", cmd_addresses },
 	{ "timeline", cmd_timeline }, { "health", cmd_health },
+	{ "explain", cmd_explain },   { "report", cmd_report },
 };
 
 static const char doc[] =
@@ -26,7 +27,9 @@
 	"  check      parse statements without running them\n"
 	"  addresses  print the addresses that callers should use\n"
 	"  timeline   merge the events of several daemons\n"
-	"  health     ask each daemon whether it is ready\n\n"
+	"  health     ask each daemon whether it is ready\n"
+	"  explain    follow an id through the lines of all daemons\n"
+	"  report     sum up the lines of all daemons, with plots\n\n"
 	"Each command has its own --help." EXIT_STATUS_DOC;
 
 /* Where the command's own arguments begin. */
