t: prove what counts as the same report of a server

The fleet renews a server's entry without decoding it where only the count of its reports has changed. A table of changes says what keeps the hash and what doesn't: a state, a version, a start, slots, a count that is none.

--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -306,6 +306,39 @@
 	}
 }
 
+// A report that differs in its count alone needs no decoding.
+TEST(PlatformServer, TheCountAloneDoesNotChangeTheHash)
+{
+	const struct {
+		const char *from, *to;
+		bool same;
+	} cases[] = {
+		{ "\"seq\":4", "\"seq\":5", true },
+		{ "\"seq\":4", "\"seq\": 4000000", true },
+		{ "\"seq\":4", "\"seq\":-4", false },
+		{ "\"seq\":4", "\"seq\":4.5", false },
+		{ "\"ready\"", "\"draining\"", false },
+		{ "\"version\":3", "\"version\":4", false },
+		{ "\"cold_left_ms\":0", "\"cold_left_ms\":9", false },
+		{ "1769344716005", "1769344716006", false },
+		{ "\"slots\":12", "\"slots\":13", false },
+	};
+	std::string text = server_text;
+	uint64_t hash = platform_server_hash(text.data(), text.size());
+
+	EXPECT_NE(0u, hash);
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.to);
+		std::string other = text;
+
+		other.replace(other.find(c.from), strlen(c.from), c.to);
+		EXPECT_EQ(c.same, hash == platform_server_hash(other.data(),
+							       other.size()));
+	}
+	EXPECT_EQ(0u, platform_server_hash("{}", 2));
+	EXPECT_EQ(0u, platform_server_hash("", 0));
+}
+
 namespace
 {
 
