duty: read usage again where the first read of a new holder failed

Traced with a state line a tick: the store refuses part of the calls, a host gains the duty in between, and its first read of the usage topic fails. Nobody asked again before a window of the new holder's own was due, up to 8.5 s later, so what others had counted and not closed was late.

Change: a refresh that failed is remembered and repeated with the next tick.

Ruled out: a writer that waits (idle), a follower that hangs (idle, nothing read), a lease that isn't held (it was).

Result: Duties.ReportWhatWasBeforeThemOnceItCanBeRead, with reads of usage refused for 0.1, 1 and 2.5 s after the change of holder, fails before in all three cases and passes.

--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -209,6 +209,7 @@
 	const struct usage_window *window;
 
 	duty->refreshing = 0;
+	duty->unread = !ok;
 	if (!ok || !is_active(duty))
 		return;
 	usage_ledger_forget(&duty->ledger, window_now(duty) - KEPT_WINDOWS);
@@ -224,7 +225,8 @@
 {
 	if (!is_active(duty) || is_busy(duty))
 		return;
-	if (!usage_ledger_next_report(&duty->ledger) && !close_is_due(duty))
+	if (!duty->unread && !usage_ledger_next_report(&duty->ledger) &&
+	    !close_is_due(duty))
 		return;
 	duty->refreshing = 1;
 	topic_follower_refresh(&duty->follower, &duty->refresh);
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -225,6 +225,47 @@
 		EXPECT_NE("usage", call.kind);
 }
 
+// The new holder cannot read what was closed and counted before it, for a
+// while: claims pass, reads of usage do not.
+TEST_F(Duties, ReportWhatWasBeforeThemOnceItCanBeRead)
+{
+	const int64_t away_ms[] = { 100, 1000, 2500 };
+
+	for (int64_t away : away_ms) {
+		SCOPED_TRACE(away);
+		uint64_t last;
+		int64_t now_ms;
+
+		platform_.reported.clear();
+		add("a");
+		ASSERT_GE(wait_holder(), 0);
+		add("b", 250);
+		while (clock_wall_ms(&time_.clock.base) % 5000 < 4000 ||
+		       platform_.reported.empty()) {
+			hosts_[0]->count_run("red");
+			time_.run(100);
+		}
+		last = (uint64_t)clock_wall_ms(&time_.clock.base) / 5000;
+		time_.run(5000 - clock_wall_ms(&time_.clock.base) % 5000 + 300);
+		topics_.faults = [](const std::string &kind,
+				    const std::string &topic) {
+			return kind == "read" && topic == "usage"
+				       ? Fault::REFUSED
+				       : Fault::NONE;
+		};
+		kill(hosts_[0].get());
+		ASSERT_GE(wait_holder(), 0);
+		time_.run(away);
+		topics_.faults = nullptr;
+		// It closes a window four seconds after the end.
+		now_ms = clock_wall_ms(&time_.clock.base);
+		time_.run(std::max<int64_t>(
+			(int64_t)(last + 1) * 5000 + 4200 - now_ms, 1000));
+		EXPECT_TRUE(platform_.reported.count(last));
+		hosts_.clear();
+	}
+}
+
 // Between the two the store may go away, and the lease with it.
 TEST_F(Duties, ReportAWindowAsSoonAsItIsClosed)
 {
