store: pack messages into records in one place

Seven places packed a protobuf message into a buffer of their own and added it as a record, each with the generated functions of its type; four made a topic_write by hand. protobuf-c packs any message through its base, so topic_add_message() and topic_add_keyed_message() serve them all, and topic_write_new() stands beside topic_write_free().

Same bytes and same calls: the tests of the store, the duties, discovery and batches pass as they were.

--- a/batch/batch_partition.c
+++ b/batch/batch_partition.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "store/topic_message.h"
 #include "base/hash.h"
 
 #define BATCH_TOPIC "batch"
@@ -101,7 +102,7 @@
 void batch_write_add(struct batch_write *write,
 		     const Currant__Topic__BatchRecord *record)
 {
-	batch_record_add(&write->base.records, record);
+	topic_add_message(&write->base.records, &record->base);
 	write->base.record_count++;
 }
 
--- a/batch/batch_record.c
+++ b/batch/batch_record.c
@@ -4,40 +4,13 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "store/topic_message.h"
 
 /* What a part takes beside its items, at most. */
 #define PART_OVERHEAD_BYTES 4096
 /* What protobuf adds to the texts of an item, at most. */
 #define ITEM_OVERHEAD_BYTES (64 + REQUEST_PARTS_MAX * 16)
 
-void batch_record_add(struct strbuf *out,
-		      const Currant__Topic__BatchRecord *record)
-{
-	struct strbuf packed;
-
-	strbuf_init(&packed);
-	strbuf_grow(&packed,
-		    currant__topic__batch_record__get_packed_size(record));
-	packed.len = currant__topic__batch_record__pack(record,
-							(uint8_t *)packed.buf);
-	topic_add_record(out, packed.buf, packed.len);
-	strbuf_finish(&packed);
-}
-
-static void add_text_record(struct strbuf *out,
-			    const Currant__Topic__TextRecord *record)
-{
-	struct strbuf packed;
-
-	strbuf_init(&packed);
-	strbuf_grow(&packed,
-		    currant__topic__text_record__get_packed_size(record));
-	packed.len = currant__topic__text_record__pack(record,
-						       (uint8_t *)packed.buf);
-	topic_add_record(out, packed.buf, packed.len);
-	strbuf_finish(&packed);
-}
-
 void batch_record_add_text(struct strbuf *out, const char *batch, uint32_t item,
 			   const void *text, size_t len)
 {
@@ -50,7 +23,7 @@
 	message.text.len = len;
 	record.kind_case = CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT;
 	record.text = &message;
-	add_text_record(out, &record);
+	topic_add_message(out, &record.base);
 }
 
 static size_t item_bytes(const struct draft_item *item)
@@ -127,7 +100,7 @@
 	part.n_items = count;
 	record.kind_case = CURRANT__TOPIC__TEXT_RECORD__KIND_ITEMS;
 	record.items = &part;
-	add_text_record(out, &record);
+	topic_add_message(out, &record.base);
 	free(parts);
 	free(list);
 	free(items);
@@ -196,7 +169,7 @@
 	fits = currant__topic__batch_record__get_packed_size(&record) <=
 	       max_record_bytes;
 	if (fits)
-		batch_record_add(out, &record);
+		topic_add_message(out, &record.base);
 	free(ids);
 	return fits ? 0 : -1;
 }
--- a/batch/batch_record.h
+++ b/batch/batch_record.h
@@ -38,10 +38,6 @@
 			      const struct batch_acceptance *acceptance,
 			      uint32_t max_record_bytes);
 
-/* Appends one record of the batch topic of any other kind. */
-void batch_record_add(struct strbuf *out,
-		      const Currant__Topic__BatchRecord *record);
-
 /* Appends the text of an item. */
 void batch_record_add_text(struct strbuf *out, const char *batch, uint32_t item,
 			   const void *text, size_t len);
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -7,6 +7,7 @@
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/topic_message.h"
 
 #define HOST_TOPIC "keyed.hosts"
 /*
@@ -171,8 +172,8 @@
 	return count;
 }
 
-static void pack_notice(const struct entry_host *own, int64_t now,
-			struct strbuf *out)
+static void add_notice(const struct entry_host *own, int64_t now,
+		       struct strbuf *out)
 {
 	Currant__Topic__HostNotice notice = CURRANT__TOPIC__HOST_NOTICE__INIT;
 	Currant__Topic__CrashSuspect *list[CRASH_LIST_MAX];
@@ -194,9 +195,7 @@
 	for (uint32_t i = 0; i < HOST_PARTITIONS_MAX; i++)
 		if (own->partitions >> i & 1)
 			partitions[notice.n_partitions++] = i;
-	strbuf_grow(out, currant__topic__host_notice__get_packed_size(&notice));
-	out->len =
-		currant__topic__host_notice__pack(&notice, (uint8_t *)out->buf);
+	topic_add_keyed_message(out, own->name, &notice.base);
 }
 
 static void write_notice(struct discovery *discovery);
@@ -216,22 +215,13 @@
 static void write_notice(struct discovery *discovery)
 {
 	struct topic_write *write;
-	struct strbuf value;
 
 	discovery->stale = discovery->pending != NULL;
 	if (discovery->pending)
 		return;
-	write = xcalloc(1, sizeof(*write));
-	strbuf_init(&value);
-	pack_notice(&discovery->own, now_ns(discovery), &value);
-	strbuf_init(&write->records);
-	topic_add_keyed(&write->records, discovery->own.name, value.buf,
-			value.len);
-	strbuf_finish(&value);
+	write = topic_write_new(on_written, discovery);
+	add_notice(&discovery->own, now_ns(discovery), &write->records);
 	write->record_count = 1;
-	write->done = on_written;
-	write->dropped = topic_write_free;
-	write->arg = discovery;
 	discovery->pending = write;
 	topic_writer_add(&discovery->writer, write);
 }
--- a/duty/duty_lease.c
+++ b/duty/duty_lease.c
@@ -4,6 +4,7 @@
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/topic_message.h"
 
 #define DUTY_TOPIC "keyed.duty"
 #define DUTY_KEY "duties"
@@ -165,20 +166,13 @@
 static void send_claim(struct duty_lease *lease, uint64_t fence, int release)
 {
 	Currant__Topic__DutyClaim claim;
-	struct strbuf value;
 
 	lease->sequence++;
 	lease->sent_ns[lease->sequence % DUTY_LEASE_SENDS] =
 		clock_now_ns(lease->clock);
 	fill_claim(lease, &claim, fence, release);
-	strbuf_init(&value);
-	strbuf_grow(&value,
-		    currant__topic__duty_claim__get_packed_size(&claim));
-	value.len =
-		currant__topic__duty_claim__pack(&claim, (uint8_t *)value.buf);
 	strbuf_reset(&lease->records);
-	topic_add_keyed(&lease->records, DUTY_KEY, value.buf, value.len);
-	strbuf_finish(&value);
+	topic_add_keyed_message(&lease->records, DUTY_KEY, &claim.base);
 	lease->append.records = lease->records.buf;
 	lease->append.records_len = lease->records.len;
 	lease->append.expected_end = (int64_t)lease->follower.next;
--- a/duty/usage_counter.c
+++ b/duty/usage_counter.c
@@ -5,6 +5,7 @@
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/topic_message.h"
 
 #define FLUSH_PERIOD_NS (1 * NS_PER_S)
 
@@ -104,17 +105,10 @@
 static void pack_sum(const Currant__Topic__UsageSum *sum, struct strbuf *out)
 {
 	Currant__Topic__UsageRecord record = CURRANT__TOPIC__USAGE_RECORD__INIT;
-	struct strbuf packed;
 
 	record.kind_case = CURRANT__TOPIC__USAGE_RECORD__KIND_SUM;
 	record.sum = (Currant__Topic__UsageSum *)sum;
-	strbuf_init(&packed);
-	strbuf_grow(&packed,
-		    currant__topic__usage_record__get_packed_size(&record));
-	packed.len = currant__topic__usage_record__pack(&record,
-							(uint8_t *)packed.buf);
-	topic_add_record(out, packed.buf, packed.len);
-	strbuf_finish(&packed);
+	topic_add_message(out, &record.base);
 }
 
 /* Adds the sum of the oldest pending window to the write. */
@@ -155,11 +149,8 @@
 
 	if (!counter->pending)
 		return;
-	write = xcalloc(1, sizeof(*write));
-	strbuf_init(&write->records);
+	write = topic_write_new(on_written, NULL);
 	write->persistent = 1;
-	write->done = on_written;
-	write->dropped = topic_write_free;
 	while (counter->pending)
 		add_sum(counter, counter->pending->window, write);
 	topic_writer_add(&counter->writer, write);
--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -6,6 +6,7 @@
 #include "base/alloc.h"
 #include "duty/usage_counter.h"
 #include "proto/topic.pb-c.h"
+#include "store/topic_message.h"
 
 #define TICK_NS (250 * NS_PER_MS)
 #define CALL_TIMEOUT_NS (1500 * NS_PER_MS)
@@ -84,21 +85,10 @@
 static void write_record(struct usage_duty *duty,
 			 const Currant__Topic__UsageRecord *record)
 {
-	struct topic_write *write = xcalloc(1, sizeof(*write));
-	struct strbuf packed;
-
-	strbuf_init(&packed);
-	strbuf_grow(&packed,
-		    currant__topic__usage_record__get_packed_size(record));
-	packed.len = currant__topic__usage_record__pack(record,
-							(uint8_t *)packed.buf);
-	strbuf_init(&write->records);
-	topic_add_record(&write->records, packed.buf, packed.len);
-	strbuf_finish(&packed);
+	struct topic_write *write = topic_write_new(on_written, duty);
+
+	topic_add_message(&write->records, &record->base);
 	write->record_count = 1;
-	write->done = on_written;
-	write->dropped = topic_write_free;
-	write->arg = duty;
 	duty->writing = 1;
 	topic_writer_add(&duty->writer, write);
 }
--- a/duty/weight_board.c
+++ b/duty/weight_board.c
@@ -1,11 +1,11 @@
 #include "duty/weight_board.h"
 
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/topic_message.h"
 
 #define WEIGHT_TOPIC "keyed.weights"
 #define NEED_KEY "need/"
@@ -130,17 +130,14 @@
 }
 
 static void say(struct weight_board *board, const char *prefix,
-		const char *name, const struct strbuf *value)
+		const char *name, const ProtobufCMessage *message)
 {
-	struct topic_write *write = xcalloc(1, sizeof(*write));
+	struct topic_write *write = topic_write_new(on_written, NULL);
 	char key[2 * WEIGHT_NAME_BYTES];
 
 	snprintf(key, sizeof(key), "%s%s", prefix, name);
-	strbuf_init(&write->records);
-	topic_add_keyed(&write->records, key, value->buf, value->len);
+	topic_add_keyed_message(&write->records, key, message);
 	write->record_count = 1;
-	write->done = on_written;
-	write->dropped = topic_write_free;
 	topic_writer_add(&board->writer, write);
 }
 
@@ -148,7 +145,6 @@
 			   const struct weight_need *need, const char *host)
 {
 	Currant__Topic__WeightNeed message = CURRANT__TOPIC__WEIGHT_NEED__INIT;
-	struct strbuf value;
 
 	message.model = (char *)need->model;
 	message.service = (char *)need->service;
@@ -158,30 +154,17 @@
 	message.items = need->items;
 	message.single_version = need->single_version;
 	message.host = (char *)host;
-	strbuf_init(&value);
-	strbuf_grow(&value,
-		    currant__topic__weight_need__get_packed_size(&message));
-	value.len = currant__topic__weight_need__pack(&message,
-						      (uint8_t *)value.buf);
-	say(board, NEED_KEY, need->model, &value);
-	strbuf_finish(&value);
+	say(board, NEED_KEY, need->model, &message.base);
 }
 
 void weight_board_say_load(struct weight_board *board,
 			   const struct weight_load *load)
 {
 	Currant__Topic__WeightLoad message = CURRANT__TOPIC__WEIGHT_LOAD__INIT;
-	struct strbuf value;
 
 	message.engine = (char *)load->engine;
 	message.model = (char *)load->model;
 	message.version = load->version;
 	message.loaded = load->loaded;
-	strbuf_init(&value);
-	strbuf_grow(&value,
-		    currant__topic__weight_load__get_packed_size(&message));
-	value.len = currant__topic__weight_load__pack(&message,
-						      (uint8_t *)value.buf);
-	say(board, LOAD_KEY, load->engine, &value);
-	strbuf_finish(&value);
+	say(board, LOAD_KEY, load->engine, &message.base);
 }
--- a/store/topic_writer.c
+++ b/store/topic_writer.c
@@ -45,6 +45,19 @@
 	writer->refusals = counter_get(counters, "store_append_refused_total");
 }
 
+struct topic_write *topic_write_new(void (*done)(struct topic_write *write,
+						 enum topic_write_outcome),
+				    void *arg)
+{
+	struct topic_write *write = xcalloc(1, sizeof(*write));
+
+	strbuf_init(&write->records);
+	write->done = done;
+	write->dropped = topic_write_free;
+	write->arg = arg;
+	return write;
+}
+
 void topic_write_free(struct topic_write *write)
 {
 	strbuf_finish(&write->records);
--- a/store/topic_writer.h
+++ b/store/topic_writer.h
@@ -42,7 +42,13 @@
 	struct topic_write *next;
 };
 
-/* Frees a write that was allocated by itself, and its records. */
+/*
+ * A write that is allocated by itself, without records; topic_write_free()
+ * frees it in done(), and where it is dropped.
+ */
+struct topic_write *topic_write_new(void (*done)(struct topic_write *write,
+						 enum topic_write_outcome),
+				    void *arg);
 void topic_write_free(struct topic_write *write);
 
 struct topic_writer {
