duty: keep what models need in one table for both duties

The duties of weights and of servers each had the list of needs by model, when each was heard, the search in it and the rule for a full one. Both use need_table now. The order of weights gets the need itself instead of the model's name, from which it looked the same need up again.

--- a/duty/server_duty.c
+++ b/duty/server_duty.c
@@ -1,10 +1,8 @@
 #include "duty/server_duty.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
-#include "policy/version_plan.h"
 
 #define TICK_NS (500 * NS_PER_MS)
 #define CALL_TIMEOUT_NS (1500 * NS_PER_MS)
@@ -197,10 +195,13 @@
 	int64_t now = now_ns(duty);
 	double runs = 0;
 
-	for (uint32_t i = 0; i < duty->need_count; i++)
-		if (!strcmp(duty->needs[i].service, service) &&
-		    now - duty->need_ns[i] < NEED_KEEPS_NS)
-			runs += duty->needs[i].items;
+	for (uint32_t i = 0; i < duty->needs.count; i++) {
+		const struct model_need *model = &duty->needs.models[i];
+
+		if (!strcmp(model->need.service, service) &&
+		    now - model->heard_ns < NEED_KEEPS_NS)
+			runs += model->need.items;
+	}
 	return runs;
 }
 
@@ -296,17 +297,9 @@
 		(struct server_duty *)((char *)listener -
 				       offsetof(struct server_duty,
 						board_listener));
-	uint32_t at = 0;
 
-	while (at < duty->need_count &&
-	       strcmp(duty->needs[at].model, need->model) != 0)
-		at++;
-	if (at == PLAN_MODELS_MAX)
-		return;
-	if (at == duty->need_count)
-		duty->need_count++;
-	duty->needs[at] = *need;
-	duty->need_ns[at] = now_ns(duty);
+	/* A model too many gets no cheap engines. */
+	(void)need_table_put(&duty->needs, need, now_ns(duty));
 }
 
 static struct server_duty *lease_duty(struct duty_lease_listener *listener)
@@ -356,8 +349,7 @@
 	duty->policy.hold_ns = LOWER_HOLD_NS;
 	duty->policy.first_backoff_ns = FIRST_BACKOFF_NS;
 	duty->policy.max_backoff_ns = MAX_BACKOFF_NS;
-	duty->needs = xcalloc(PLAN_MODELS_MAX, sizeof(*duty->needs));
-	duty->need_ns = xcalloc(PLAN_MODELS_MAX, sizeof(*duty->need_ns));
+	need_table_init(&duty->needs);
 	duty->lease_listener.gained = on_gained;
 	duty->lease_listener.lost = on_lost;
 	duty_lease_add_listener(lease, &duty->lease_listener);
@@ -372,6 +364,5 @@
 	timer_unsubscribe(duty->timers, &duty->timer);
 	for (uint32_t i = 0; i < duty->service_count; i++)
 		cancel_orders(&duty->services[i]);
-	free(duty->needs);
-	free(duty->need_ns);
+	need_table_finish(&duty->needs);
 }
--- a/duty/server_duty.h
+++ b/duty/server_duty.h
@@ -3,7 +3,7 @@
 
 #include "base/record_log.h"
 #include "duty/duty_lease.h"
-#include "duty/weight_board.h"
+#include "duty/need_table.h"
 #include "entry/config_holder.h"
 #include "fleet/fleet.h"
 #include "policy/server_count.h"
@@ -51,9 +51,7 @@
 	const char *holder;
 	int enabled; /* the platform takes such orders */
 	struct server_count_policy policy;
-	struct weight_need *needs; /* one a model */
-	int64_t *need_ns; /* when each was heard */
-	uint32_t need_count;
+	struct need_table needs;
 	struct ordered_service services[SERVER_DUTY_SERVICES];
 	uint32_t service_count;
 	struct timer timer;
--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -258,23 +258,14 @@
 			     engine);
 }
 
-static const struct weight_need *find_need(const struct version_duty *duty,
-					   const char *model)
-{
-	for (uint32_t i = 0; i < duty->need_count; i++)
-		if (!strcmp(duty->needs[i].model, model))
-			return &duty->needs[i];
-	return NULL;
-}
-
-static void send_order(struct duty_engine *engine, const char *model)
+static void send_order(struct duty_engine *engine,
+		       const struct weight_need *need)
 {
 	struct version_duty *duty = engine->duty;
-	const struct weight_need *need = find_need(duty, model);
 	struct weight_order *order = &engine->order;
 
-	copy_text(engine->model, sizeof(engine->model), model);
-	engine->version = named_versions_get(duty->named, model);
+	copy_text(engine->model, sizeof(engine->model), need->model);
+	engine->version = named_versions_get(duty->named, need->model);
 	engine->ordered_ns = now_ns(duty);
 	/*
 	 * An order that names the count of earlier ones has no effect once a
@@ -293,8 +284,7 @@
 	order->address = engine->server->entry.address;
 	order->model = engine->model;
 	order->version = engine->version;
-	order->mode = need && need->single_version ? LOAD_AFTER_RUNS
-						   : LOAD_KEEPS_RUNS;
+	order->mode = need->single_version ? LOAD_AFTER_RUNS : LOAD_KEEPS_RUNS;
 	order->expected_orders = engine->orders;
 	engine->phase = PHASE_ORDERING;
 	counter_add(duty->orders, 1);
@@ -315,8 +305,8 @@
 {
 	int64_t now = now_ns(duty);
 
-	for (uint32_t i = 0; i < duty->need_count; i++) {
-		const struct weight_need *need = &duty->needs[i];
+	for (uint32_t i = 0; i < duty->needs.count; i++) {
+		const struct weight_need *need = &duty->needs.models[i].need;
 
 		models[i].named = named_versions_get(duty->named, need->model);
 		models[i].lag =
@@ -324,31 +314,24 @@
 				? need->named_version - need->min_version
 				: 0;
 		models[i].tokens = (double)need->tokens + 1;
-		models[i].is_active = now - duty->need_ns[i] < NEED_KEEPS_NS;
+		models[i].is_active = now - duty->needs.models[i].heard_ns <
+				      NEED_KEEPS_NS;
 	}
 }
 
-static int32_t index_of_model(const struct version_duty *duty,
-			      const char *model)
-{
-	for (uint32_t i = 0; i < duty->need_count; i++)
-		if (!strcmp(duty->needs[i].model, model))
-			return (int32_t)i;
-	return -1;
-}
-
 static void view_engine(struct version_duty *duty,
 			const struct duty_engine *engine,
 			struct plan_engine *view)
 {
 	const struct fleet_server *server = engine->server;
 
-	view->share = index_of_model(duty, engine->share);
+	view->share = need_table_index(&duty->needs, engine->share);
 	view->is_loading = engine->phase != PHASE_IDLE;
 	view->usable = fleet_server_usable(server, now_ns(duty)) &&
 		       now_ns(duty) >= engine->not_before_ns;
-	for (uint32_t i = 0; i < duty->need_count; i++)
-		view->versions[i] = version_of(engine, duty->needs[i].model);
+	for (uint32_t i = 0; i < duty->needs.count; i++)
+		view->versions[i] =
+			version_of(engine, duty->needs.models[i].need.model);
 }
 
 /* Engines of the services whose batches need weights. */
@@ -359,8 +342,9 @@
 
 	for (struct fleet_server *s = duty->fleet->first;
 	     s && count < ENGINES_MAX; s = s->next)
-		for (uint32_t i = 0; i < duty->need_count; i++)
-			if (!strcmp(duty->needs[i].service, s->entry.service)) {
+		for (uint32_t i = 0; i < duty->needs.count; i++)
+			if (!strcmp(duty->needs.models[i].need.service,
+				    s->entry.service)) {
 				engines[count++] = get_engine(duty, s);
 				break;
 			}
@@ -370,7 +354,8 @@
 static void note_share(struct version_duty *duty, struct duty_engine *engine,
 		       int32_t share)
 {
-	const char *model = share >= 0 ? duty->needs[share].model : "";
+	const char *model = share >= 0 ? duty->needs.models[share].need.model
+				       : "";
 	struct record record;
 
 	if (!strcmp(engine->share, model))
@@ -406,15 +391,15 @@
 	view_models(duty, models);
 	for (uint32_t i = 0; i < count; i++)
 		view_engine(duty, engines[i], &views[i]);
-	version_plan_shares(models, duty->need_count, views, count);
+	version_plan_shares(models, duty->needs.count, views, count);
 	for (uint32_t i = 0; i < count; i++)
 		if (views[i].usable)
 			note_share(duty, engines[i], views[i].share);
-	load_count = version_plan_loads(models, duty->need_count, views, count,
+	load_count = version_plan_loads(models, duty->needs.count, views, count,
 					loads_at_once(engines, count), loads);
 	for (uint32_t i = 0; i < load_count; i++)
 		send_order(engines[loads[i].engine],
-			   duty->needs[loads[i].model].model);
+			   &duty->needs.models[loads[i].model].need);
 	free(loads);
 	free(views);
 	free(engines);
@@ -450,14 +435,9 @@
 		(struct version_duty *)((char *)listener -
 					offsetof(struct version_duty,
 						 board_listener));
-	int32_t index = index_of_model(duty, need->model);
 
-	if (index < 0 && duty->need_count == PLAN_MODELS_MAX)
+	if (need_table_put(&duty->needs, need, now_ns(duty)))
 		return;
-	if (index < 0)
-		index = (int32_t)duty->need_count++;
-	duty->needs[index] = *need;
-	duty->need_ns[index] = now_ns(duty);
 	plan_soon(duty);
 }
 
@@ -536,8 +516,7 @@
 	duty->holder = holder;
 	duty->log = log;
 	duty->load_ns = FIRST_LOAD_NS;
-	duty->needs = xcalloc(PLAN_MODELS_MAX, sizeof(*duty->needs));
-	duty->need_ns = xcalloc(PLAN_MODELS_MAX, sizeof(*duty->need_ns));
+	need_table_init(&duty->needs);
 	duty->lease_listener.gained = on_gained;
 	duty->lease_listener.lost = on_lost;
 	duty_lease_add_listener(lease, &duty->lease_listener);
@@ -564,6 +543,5 @@
 		free_engine(engine);
 		engine = next;
 	}
-	free(duty->needs);
-	free(duty->need_ns);
+	need_table_finish(&duty->needs);
 }
--- a/duty/version_duty.h
+++ b/duty/version_duty.h
@@ -3,7 +3,7 @@
 
 #include "base/record_log.h"
 #include "duty/duty_lease.h"
-#include "duty/weight_board.h"
+#include "duty/need_table.h"
 #include "entry/config_holder.h"
 #include "entry/named_versions.h"
 #include "fleet/fleet.h"
@@ -31,9 +31,7 @@
 	struct record_log *log;
 	const char *holder;
 	struct duty_engine *engines;
-	struct weight_need *needs; /* one a model */
-	int64_t *need_ns; /* when each was heard */
-	uint32_t need_count;
+	struct need_table needs;
 	struct timer soon;
 	int soon_pending;
 	int active;
