fleet: let a server know the one before it

Taking a server out of the list needed the server before it, which three walks carried along and a fourth searched for. Each server keeps it now; the search and a return value that said whether the walk had lost its server are gone.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -51,16 +51,16 @@
 	*at = server->next_in_bucket;
 }
 
-/* `before` stands before the server in the list; NULL: it is the first. */
-static void take_out(struct fleet *fleet, struct fleet_server *before,
-		     struct fleet_server *server)
+static void take_out(struct fleet *fleet, struct fleet_server *server)
 {
-	if (before)
-		before->next = server->next;
+	if (server->before)
+		server->before->next = server->next;
 	else
 		fleet->first = server->next;
-	if (fleet->last == server)
-		fleet->last = before;
+	if (server->next)
+		server->next->before = server->before;
+	else
+		fleet->last = server->before;
 	take_out_of_bucket(fleet, server);
 	server->next = NULL;
 	server->gone = 1;
@@ -74,7 +74,7 @@
 {
 	fleet->listeners = NULL; /* they are finished by now */
 	while (fleet->first)
-		take_out(fleet, NULL, fleet->first);
+		take_out(fleet, fleet->first);
 }
 
 struct fleet_server *fleet_find(struct fleet *fleet, const char *id)
@@ -86,18 +86,6 @@
 	return server;
 }
 
-static struct fleet_server *find_before(const struct fleet *fleet,
-					const struct fleet_server *server)
-{
-	struct fleet_server *before = fleet->first;
-
-	if (before == server)
-		return NULL;
-	while (before->next != server)
-		before = before->next;
-	return before;
-}
-
 static struct fleet_server *add_server(struct fleet *fleet, const char *id)
 {
 	struct fleet_server *server = xcalloc(1, sizeof(*server));
@@ -109,6 +97,7 @@
 		fleet->last->next = server;
 	else
 		fleet->first = server;
+	server->before = fleet->last;
 	fleet->last = server;
 	server->next_in_bucket = *bucket;
 	*bucket = server;
@@ -135,7 +124,7 @@
 		return;
 	}
 	if (server && is_other_process(server, entry)) {
-		take_out(fleet, find_before(fleet, server), server);
+		take_out(fleet, server);
 		server = NULL;
 	}
 	if (!server)
@@ -163,17 +152,13 @@
 	return 1;
 }
 
-/* Returns whether the server is out of the table now. */
-static int doom(struct fleet *fleet, struct fleet_server *before,
-		struct fleet_server *server, int64_t now_ns)
+static void doom(struct fleet *fleet, struct fleet_server *server,
+		 int64_t now_ns)
 {
-	if (now_ns >= fleet->hold_until_ns) {
-		take_out(fleet, before, server);
-		return 1;
-	}
-	if (!server->doomed_ns)
+	if (now_ns >= fleet->hold_until_ns)
+		take_out(fleet, server);
+	else if (!server->doomed_ns)
 		server->doomed_ns = fleet->hold_until_ns;
-	return 0;
 }
 
 void fleet_drop(struct fleet *fleet, const char *id, uint64_t offset,
@@ -182,7 +167,7 @@
 	struct fleet_server *server = fleet_find(fleet, id);
 
 	if (server && offset >= server->offset)
-		doom(fleet, find_before(fleet, server), server, now_ns);
+		doom(fleet, server, now_ns);
 }
 
 void fleet_begin_listing(struct fleet *fleet)
@@ -193,15 +178,13 @@
 
 void fleet_end_listing(struct fleet *fleet, uint64_t offset, int64_t now_ns)
 {
-	struct fleet_server *before = NULL;
 	struct fleet_server *server = fleet->first;
 
 	while (server) {
 		struct fleet_server *next = server->next;
 
-		if (server->listed || server->offset >= offset ||
-		    !doom(fleet, before, server, now_ns))
-			before = server;
+		if (!server->listed && server->offset < offset)
+			doom(fleet, server, now_ns);
 		server = next;
 	}
 }
@@ -214,16 +197,13 @@
 
 void fleet_tick(struct fleet *fleet, int64_t now_ns)
 {
-	struct fleet_server *before = NULL;
 	struct fleet_server *server = fleet->first;
 
 	while (server) {
 		struct fleet_server *next = server->next;
 
 		if (server->doomed_ns && now_ns >= server->doomed_ns)
-			take_out(fleet, before, server);
-		else
-			before = server;
+			take_out(fleet, server);
 		server = next;
 	}
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -32,7 +32,8 @@
 	uint32_t references;
 	void *engine; /* of the scheduler of batches; may be NULL */
 	uint64_t text_hash; /* of the entry as it was written; 0: not known */
-	struct fleet_server *next;
+	struct fleet_server *next; /* in order of their coming */
+	struct fleet_server *before;
 	struct fleet_server *next_in_bucket;
 };
 
