forward: hash an answered request only where this host suspects one

Each answer was hashed, body and all, while any host's notice named a suspect, though an answer clears this host's own suspects alone. The question is about the own list now. crash_list has one search for a request instead of two.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -23,11 +23,16 @@
 	return !strcmp(host->name, watch->discovery->own.name);
 }
 
+int crash_watch_suspects_any(const struct crash_watch *watch)
+{
+	return !crash_list_is_empty(&watch->seen, clock_now_ns(watch->clock));
+}
+
 int crash_watch_is_idle(const struct crash_watch *watch)
 {
 	int64_t now_ns = clock_now_ns(watch->clock);
 
-	if (!crash_list_is_empty(&watch->seen, now_ns))
+	if (crash_watch_suspects_any(watch))
 		return 0;
 	for (const struct entry_host *h = watch->discovery->hosts.first; h;
 	     h = h->next)
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -36,6 +36,9 @@
 void crash_watch_cut(struct crash_watch *watch, uint64_t request,
 		     const char *id, const char *server);
 
+/* Whether this host suspects any request; else no answer clears one. */
+int crash_watch_suspects_any(const struct crash_watch *watch);
+
 /* A run came to an answer. */
 void crash_watch_answered(struct crash_watch *watch, uint64_t request);
 
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -134,7 +134,7 @@
 		crash_watch_cut(watch, forward_hash(forward),
 				forward->caller.id, try->server->entry.id);
 	else if ((outcome == ATTEMPT_ANSWERED || outcome == ATTEMPT_FAILED) &&
-		 !crash_watch_is_idle(watch))
+		 crash_watch_suspects_any(watch))
 		crash_watch_answered(watch, forward_hash(forward));
 }
 
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -14,15 +14,14 @@
 	return suspect->crashes && now_ns - suspect->last_ns < CRASH_MEMORY_NS;
 }
 
-static struct crash_suspect *find(struct crash_list *list, uint64_t request)
+/* Index of the request's entry, however old; -1 if there is none. */
+static int32_t place_of(const struct crash_list *list, uint64_t request)
 {
-	for (uint32_t i = 0; i < CRASH_LIST_MAX; i++) {
-		struct crash_suspect *suspect = &list->suspects[i];
-
-		if (suspect->crashes && suspect->request == request)
-			return suspect;
-	}
-	return NULL;
+	for (int32_t i = 0; i < CRASH_LIST_MAX; i++)
+		if (list->suspects[i].crashes &&
+		    list->suspects[i].request == request)
+			return i;
+	return -1;
 }
 
 /* A place that is not used, or the one that was heard of least lately. */
@@ -43,16 +42,15 @@
 
 int crash_list_note(struct crash_list *list, uint64_t request, int64_t now_ns)
 {
-	struct crash_suspect *suspect = find(list, request);
+	int32_t place = place_of(list, request);
+	struct crash_suspect *suspect = place >= 0 ? &list->suspects[place]
+						   : find_place(list);
 
-	if (suspect && now_ns - suspect->last_ns < CRASH_APART_NS)
+	if (place >= 0 && now_ns - suspect->last_ns < CRASH_APART_NS)
 		return 0;
-	if (!suspect || !counts(suspect, now_ns)) {
-		if (!suspect)
-			suspect = find_place(list);
-		suspect->request = request;
+	if (place < 0 || !counts(suspect, now_ns))
 		suspect->crashes = 0;
-	}
+	suspect->request = request;
 	suspect->crashes++;
 	suspect->last_ns = now_ns;
 	return 1;
@@ -60,24 +58,22 @@
 
 int crash_list_clear(struct crash_list *list, uint64_t request)
 {
-	struct crash_suspect *suspect = find(list, request);
+	int32_t place = place_of(list, request);
 
-	if (!suspect)
+	if (place < 0)
 		return 0;
-	suspect->crashes = 0;
+	list->suspects[place].crashes = 0;
 	return 1;
 }
 
 const struct crash_suspect *crash_list_find(const struct crash_list *list,
 					    uint64_t request, int64_t now_ns)
 {
-	for (uint32_t i = 0; i < CRASH_LIST_MAX; i++) {
-		const struct crash_suspect *suspect = &list->suspects[i];
+	int32_t place = place_of(list, request);
 
-		if (suspect->request == request && counts(suspect, now_ns))
-			return suspect;
-	}
-	return NULL;
+	return place >= 0 && counts(&list->suspects[place], now_ns)
+		       ? &list->suspects[place]
+		       : NULL;
 }
 
 int crash_list_is_empty(const struct crash_list *list, int64_t now_ns)
