duty: start all reads of usage in one place

A new holder started its first read by itself, beside go_on(), which starts all others and repeats those that failed. It now marks the ledger unread and goes on like after a read that failed.

Also: a function in entry_life that had one caller, a plain long in builtin/report, and the histogram's comment, which named a counter that is called NAME_sum_us.

--- a/base/histogram.h
+++ b/base/histogram.h
@@ -7,7 +7,7 @@
 
 /*
  * Durations in buckets, in the usual text exposition format:
- * NAME_bucket{le="0.1"}, NAME_sum and NAME_count. Times are in seconds there.
+ * NAME_bucket{le="0.1"} with bounds in seconds, NAME_sum_us and NAME_count.
  */
 #define HISTOGRAM_BUCKETS 14
 
--- a/builtin/report.c
+++ b/builtin/report.c
@@ -31,14 +31,14 @@
 {
 	struct report_options *report = state->input;
 	char *end;
-	long seconds;
+	int64_t seconds;
 
 	switch (key) {
 	case 's':
 		report->svg = arg;
 		return 0;
 	case 't':
-		seconds = strtol(arg, &end, 10);
+		seconds = strtoll(arg, &end, 10);
 		if (*end || seconds < 1 || seconds > BUCKET_MAX_S)
 			argp_error(state, "--step must be 1 to %d, not '%s'",
 				   BUCKET_MAX_S, arg);
--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -245,10 +245,8 @@
 		duty->since = window_now(duty);
 	timer_subscribe(duty->timers, &duty->timer, TICK_NS, on_tick, duty);
 	/* What others have closed and not reported is known only by reading. */
-	if (!duty->refreshing) {
-		duty->refreshing = 1;
-		topic_follower_refresh(&duty->follower, &duty->refresh);
-	}
+	duty->unread = 1;
+	go_on(duty);
 }
 
 static void on_lost(struct duty_lease_listener *listener)
--- a/duty/usage_duty.h
+++ b/duty/usage_duty.h
@@ -28,7 +28,7 @@
 	uint32_t late_s;
 	uint64_t since; /* first window that this daemon would close */
 	int refreshing;
-	int unread; /* the last refresh failed: the ledger may lack much */
+	int unread; /* the ledger may lack what others wrote */
 	int writing; /* a close or an acknowledgement */
 	int sending;
 	int fenced; /* until the duty is gained anew */
--- a/entry/entry_life.c
+++ b/entry/entry_life.c
@@ -26,11 +26,6 @@
 #define DUTY_STEP_NS (250 * NS_PER_MS)
 #define HOSTS_RANKED 512
 
-static int64_t now_ns(struct entry_daemon *daemon)
-{
-	return reactor_now_ns(&daemon->reactor);
-}
-
 void entry_report_life(struct entry_daemon *daemon, const char *event,
 		       const char *reason)
 {
@@ -191,7 +186,7 @@
 	if (daemon->leaving)
 		return;
 	daemon->leaving = 1;
-	daemon->leaving_since_ns = now_ns(daemon);
+	daemon->leaving_since_ns = reactor_now_ns(&daemon->reactor);
 	entry_report_life(daemon, "stopping", "signal");
 	update_ready(daemon);
 	discovery_set_leaving(&daemon->discovery);
