--- a/soak/call.h
+++ b/soak/call.h
@@ -1,3 +1,4 @@
+// What the callers and the trainers share about a running call.
 #ifndef SOAK_CALL_H
 #define SOAK_CALL_H
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -1,3 +1,4 @@
+// Callers and trainers around the daemons, and the checks of what they get.
 #ifndef SOAK_CALLERS_H
 #define SOAK_CALLERS_H
 
--- a/soak/history.h
+++ b/soak/history.h
@@ -1,3 +1,4 @@
+// The written history of one run of the soak.
 #ifndef SOAK_HISTORY_H
 #define SOAK_HISTORY_H
 
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -1,3 +1,4 @@
+// A loopback proxy that does to connections what networks do.
 #ifndef SOAK_PROXY_H
 #define SOAK_PROXY_H
 
--- a/soak/store_standin.h
+++ b/soak/store_standin.h
@@ -1,3 +1,4 @@
+// A stand-in of the platform's store that speaks HTTP and misbehaves.
 #ifndef SOAK_STORE_STANDIN_H
 #define SOAK_STORE_STANDIN_H
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -1,3 +1,4 @@
+// One run of the soak: daemons as processes, all around them, and a plan.
 #ifndef SOAK_WORLD_H
 #define SOAK_WORLD_H
 
