--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -130,11 +130,16 @@
 	answer_refusal(request, &refusal);
 }
 
+static void refuse_store(struct batch_call *call)
+{
+	refuse(call, 503, "store_unavailable", "the store could not be read",
+	       STORE_RETRY_NS);
+}
+
 static void refuse_unknown_batch(struct batch_call *call)
 {
 	if (call->refresh_failed)
-		refuse(call, 503, "store_unavailable",
-		       "the store could not be read", STORE_RETRY_NS);
+		refuse_store(call);
 	else
 		refuse(call, 404, "no_batch", "no such batch is known", -1);
 }
@@ -151,12 +156,6 @@
 	return NULL;
 }
 
-static void refuse_store(struct batch_call *call)
-{
-	refuse(call, 503, "store_unavailable", "the store could not be read",
-	       STORE_RETRY_NS);
-}
-
 static void fill_view(const struct batch *batch, uint32_t position,
 		      const struct wanted_text *text,
 		      struct batch_result_view *view)
--- a/soak/call.h
+++ b/soak/call.h
@@ -28,9 +28,4 @@
 	struct timer timer = {};
 };
 
-inline uint32_t pick(struct rng *rng, uint32_t count)
-{
-	return (uint32_t)(rng_unit(rng) * count) % count;
-}
-
 #endif
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -176,8 +176,8 @@
 	std::string id = "s" + std::to_string(next_++);
 	SingleRequest *single = &singles_[id];
 
-	single->kind = kinds[pick(&rng_, 3)];
-	single->daemon = (int)pick(&rng_, (uint32_t)daemons_.size());
+	single->kind = kinds[rng_below(&rng_, 3)];
+	single->daemon = (int)rng_below(&rng_, daemons_.size());
 	single->sent_ms = history_->now_ms();
 	call("single", single->daemon,
 	     "POST /" + single->kind + "/" + id +
--- a/soak/trainers.cc
+++ b/soak/trainers.cc
@@ -16,10 +16,11 @@
 		TrainerBatch *batch = entry.second.get();
 
 		open += batch->ended_ms < 0 && !batch->given_up;
-		if (!batch->busy && pick(&self->rng_, 3) == 0)
+		if (!batch->busy && rng_below(&self->rng_, 3) == 0)
 			self->step(batch);
 	}
-	if (self->sending_ && open < OPEN_BATCHES && pick(&self->rng_, 4) == 0)
+	if (self->sending_ && open < OPEN_BATCHES &&
+	    rng_below(&self->rng_, 4) == 0)
 		self->submit_new();
 }
 
@@ -29,10 +30,10 @@
 	std::unique_ptr<TrainerBatch> batch(new TrainerBatch());
 
 	batch->id = id;
-	batch->events = 5 + (int)pick(&rng_, 40);
+	batch->events = 5 + (int)rng_below(&rng_, 40);
 	batch->submitted_ms = history_->now_ms();
-	batch->end_early = pick(&rng_, 6) == 0;
-	batch->kept_ms = pick(&rng_, 3) == 0 ? KEPT_MS : 0;
+	batch->end_early = rng_below(&rng_, 6) == 0;
+	batch->kept_ms = rng_below(&rng_, 3) == 0 ? KEPT_MS : 0;
 	for (int i = 0; i < 6; i++) {
 		batch->items.push_back(id + "-" + std::to_string(i));
 		by_item_[batch->items.back()] = batch.get();
@@ -60,7 +61,7 @@
 void Callers::submit(TrainerBatch *batch)
 {
 	batch->busy = true;
-	call("submit", (int)pick(&rng_, (uint32_t)daemons_.size()),
+	call("submit", (int)rng_below(&rng_, daemons_.size()),
 	     "POST /b/ HTTP/1.1\r\nX-Attempt-Id: " + batch->id +
 		     "\r\nX-Deadline-Ms: 1500\r\n",
 	     submission(*batch))
@@ -103,7 +104,7 @@
 	if (batch->end_early && !batch->listed.empty())
 		end(batch);
 	else if (batch->listed.size() < batch->items.size())
-		read(batch, pick(&rng_, 8) == 0);
+		read(batch, rng_below(&rng_, 8) == 0);
 	else if (now_ms < batch->accepted_ms + batch->kept_ms)
 		read(batch, true);
 	else
@@ -116,7 +117,7 @@
 	Call *made;
 
 	batch->busy = true;
-	made = call("read", (int)pick(&rng_, (uint32_t)daemons_.size()),
+	made = call("read", (int)rng_below(&rng_, daemons_.size()),
 		    "GET /v1/lots/" + batch->id +
 			    "?after=" + std::to_string(from) +
 			    " HTTP/1.1\r\nX-Wait-Ms: 500\r\n",
@@ -208,7 +209,7 @@
 void Callers::end(TrainerBatch *batch)
 {
 	batch->busy = true;
-	call("end", (int)pick(&rng_, (uint32_t)daemons_.size()),
+	call("end", (int)rng_below(&rng_, daemons_.size()),
 	     "DELETE /v1/lots/" + batch->id + " HTTP/1.1\r\n", "")
 		->id = batch->id;
 }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -211,7 +211,7 @@
 
 static int64_t between(struct rng *rng, int64_t from, int64_t to)
 {
-	return from + (int64_t)(rng_unit(rng) * (double)(to - from));
+	return from + (int64_t)rng_below(rng, (uint64_t)(to - from));
 }
 
 void World::plan_daemon(int64_t at_ms, int number)
