--- a/batch/batch_api.h
+++ b/batch/batch_api.h
@@ -15,19 +15,11 @@
 struct batch_submission;
 struct batch_call;
 
-/* Whether a batch may be accepted now. */
-struct batch_gate {
-	/* Returns 0, or -1 with the time to come back. */
-	int (*admit)(struct batch_gate *gate, const struct batch_draft *draft,
-		     const struct entry_route *route, int64_t *retry_after_ns);
-};
-
 struct batch_api {
 	struct batch_port port;
 	struct reactor *reactor;
 	struct batch_set *set;
 	struct topic_log *store;
-	struct batch_gate *gate; /* NULL: all are admitted */
 	struct record_log *log;
 	const char *host;
 	uint64_t incarnation;
--- a/batch/batch_partition.c
+++ b/batch/batch_partition.c
@@ -31,10 +31,10 @@
 	.apply = on_apply,
 };
 
-void batch_partition_init(struct batch_partition *partition,
-			  struct topic_log *log, struct timer_service *timers,
-			  uint32_t number, const char *writer_name,
-			  struct counter_set *counters)
+static void init_partition(struct batch_partition *partition,
+			   struct topic_log *log, struct timer_service *timers,
+			   uint32_t number, const char *writer_name,
+			   struct counter_set *counters)
 {
 	topic_follower_init(&partition->follower, &follower_vtable, log, timers,
 			    BATCH_TOPIC, number, counters);
@@ -47,7 +47,7 @@
 	partition->number = number;
 }
 
-void batch_partition_finish(struct batch_partition *partition)
+static void finish_partition(struct batch_partition *partition)
 {
 	topic_writer_finish(&partition->writer);
 	topic_writer_finish(&partition->texts);
@@ -146,8 +146,8 @@
 	set->count = log->partitions;
 	set->partitions = xcalloc(set->count, sizeof(*set->partitions));
 	for (uint32_t i = 0; i < set->count; i++)
-		batch_partition_init(&set->partitions[i], log, timers, i,
-				     writer_name, counters);
+		init_partition(&set->partitions[i], log, timers, i, writer_name,
+			       counters);
 }
 
 void batch_set_forget(struct batch_set *set, int64_t ended_before_ms,
@@ -161,7 +161,7 @@
 void batch_set_finish(struct batch_set *set)
 {
 	for (uint32_t i = 0; i < set->count; i++)
-		batch_partition_finish(&set->partitions[i]);
+		finish_partition(&set->partitions[i]);
 	free(set->partitions);
 	set->partitions = NULL;
 	set->count = 0;
--- a/batch/batch_partition.h
+++ b/batch/batch_partition.h
@@ -23,7 +23,7 @@
 
 /*
  * Records that are appended; freed by whoever added them, once done, or by
- * batch_partition_finish().
+ * batch_set_finish().
  */
 struct batch_write {
 	struct topic_write base;
@@ -40,12 +40,6 @@
 	void (*free_arg)(void *arg);
 };
 
-void batch_partition_init(struct batch_partition *partition,
-			  struct topic_log *log, struct timer_service *timers,
-			  uint32_t number, const char *writer_name,
-			  struct counter_set *counters);
-void batch_partition_finish(struct batch_partition *partition);
-
 /* A write with no records yet; `is_text` for the text topic. */
 struct batch_write *batch_write_new(struct batch_partition *partition,
 				    int is_text,
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -265,23 +265,6 @@
 	return -1;
 }
 
-static int check_gate(struct batch_api *api, struct net_request *request,
-		      const char *batch, const struct batch_draft *draft,
-		      const struct entry_route *route)
-{
-	struct refusal refusal = {
-		.status = 503,
-		.type = "overloaded",
-		.detail = "the batch could not be done in time",
-	};
-
-	if (!api->gate ||
-	    !api->gate->admit(api->gate, draft, route, &refusal.retry_after_ns))
-		return 0;
-	refuse(api, request, batch, &refusal);
-	return -1;
-}
-
 static int64_t patience_ns(const struct caller_request *caller)
 {
 	if (caller->time_left_ms >= 0 &&
@@ -397,10 +380,6 @@
 	    check_draft(api, request, caller->id, request->body.buf,
 			request->body.len, &draft))
 		return;
-	if (check_gate(api, request, caller->id, &draft, route)) {
-		batch_draft_finish(&draft);
-		return;
-	}
 	submission = new_submission(api, request, caller, route, team, &draft);
 	timer_subscribe_once(&api->reactor->timers, &submission->timer,
 			     patience_ns(caller), on_timeout, submission);
--- a/batch/carried_texts.c
+++ b/batch/carried_texts.c
@@ -100,8 +100,3 @@
 	remove_text(texts, text);
 	return 1;
 }
-
-int carried_texts_has(const struct carried_texts *texts, const char *id)
-{
-	return find(texts, id) != NULL;
-}
--- a/batch/carried_texts.h
+++ b/batch/carried_texts.h
@@ -37,7 +37,4 @@
 int carried_texts_take(struct carried_texts *texts, const char *id,
 		       struct item_text *made);
 
-/* Whether the id is known, without taking it. */
-int carried_texts_has(const struct carried_texts *texts, const char *id);
-
 #endif
--- a/entry/entry_config.c
+++ b/entry/entry_config.c
@@ -9,14 +9,6 @@
 
 #define HOST_BYTES 256
 
-const char *request_kind_name(enum request_kind kind)
-{
-	static const char *const names[] = { "idempotent", "once", "stream",
-					     "resumable", "batch" };
-
-	return names[kind];
-}
-
 struct entry_config *entry_config_new(void)
 {
 	struct entry_config *config = xcalloc(1, sizeof(*config));
--- a/entry/entry_config.h
+++ b/entry/entry_config.h
@@ -16,8 +16,6 @@
 	REQUEST_BATCH, /* accepts batches of rollouts */
 };
 
-const char *request_kind_name(enum request_kind kind);
-
 /* Where a part of a route's requests goes. */
 struct entry_target {
 	char *service;
--- a/forward/event_splitter.c
+++ b/forward/event_splitter.c
@@ -13,12 +13,6 @@
 	strbuf_finish(&splitter->pending);
 }
 
-void event_splitter_reset(struct event_splitter *splitter)
-{
-	strbuf_reset(&splitter->pending);
-	splitter->scanned = 0;
-}
-
 int event_splitter_is_between(const struct event_splitter *splitter)
 {
 	return !splitter->pending.len;
--- a/forward/event_splitter.h
+++ b/forward/event_splitter.h
@@ -18,7 +18,6 @@
 
 void event_splitter_init(struct event_splitter *splitter);
 void event_splitter_finish(struct event_splitter *splitter);
-void event_splitter_reset(struct event_splitter *splitter);
 
 /*
  * Calls `fn` with each whole event. -1 if one is over the bound or `fn`
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -139,7 +139,6 @@
 					 forward->forwarder->data_centre);
 	view->tried = was_tried(forward, server->entry.id);
 	view->usable = fleet_server_usable(server, now);
-	view->preferred = 0;
 	view->cold_left_ms = server->entry.cold_left_ms;
 }
 
--- a/net/net_server.c
+++ b/net/net_server.c
@@ -236,19 +236,6 @@
 		bufferevent_get_output(request->connection->bev));
 }
 
-void net_request_peer(const struct net_request *request, char *out, size_t size)
-{
-	struct sockaddr_in addr;
-	socklen_t len = sizeof(addr);
-	char ip[INET_ADDRSTRLEN] = "";
-
-	memset(&addr, 0, sizeof(addr));
-	if (!getpeername(bufferevent_getfd(request->connection->bev),
-			 (struct sockaddr *)&addr, &len))
-		inet_ntop(AF_INET, &addr.sin_addr, ip, sizeof(ip));
-	snprintf(out, size, "%s:%u", ip, ntohs(addr.sin_port));
-}
-
 /* Answers a request that could not be read, and ends the connection. */
 static void refuse(struct net_connection *conn, uint16_t status,
 		   const char *reason)
--- a/net/net_server.h
+++ b/net/net_server.h
@@ -126,8 +126,4 @@
 /* Bytes written that have not left this process. */
 size_t net_request_unsent_bytes(const struct net_request *request);
 
-/* The caller's address as ip:port, into `out` of at least 32 bytes. */
-void net_request_peer(const struct net_request *request, char *out,
-		      size_t size);
-
 #endif
--- a/policy/plain_choice.c
+++ b/policy/plain_choice.c
@@ -9,7 +9,8 @@
 /* A server that is warming up counts as this much fuller. */
 #define COLD_LOAD 0.5
 
-double plain_server_load(const struct plain_server *server)
+/* Expected load, as requests a slot. */
+static double server_load(const struct plain_server *server)
 {
 	double load = server->own_running;
 	double reported = server->reported;
@@ -24,8 +25,6 @@
 	load /= server->slots ? server->slots : 1;
 	if (server->cold_left_ms)
 		load += COLD_LOAD;
-	if (server->preferred)
-		load -= EQUAL_LOAD;
 	return load;
 }
 
@@ -48,7 +47,7 @@
 
 		if (!servers[i].usable || servers[i].tried)
 			continue;
-		load = plain_server_load(&servers[i]);
+		load = server_load(&servers[i]);
 		if (best < 0 || load < best_load - EQUAL_LOAD) {
 			best = (int32_t)i;
 			best_load = load;
--- a/policy/plain_choice.h
+++ b/policy/plain_choice.h
@@ -21,7 +21,6 @@
 	int same_data_centre;
 	int tried; /* by this request already */
 	int usable; /* neither leaving nor with an open circuit */
-	int preferred; /* likely holds what the request needs */
 	uint32_t cold_left_ms;
 };
 
@@ -29,7 +28,4 @@
 int32_t plain_choice(const struct plain_server *servers, uint32_t count,
 		     struct rng *rng);
 
-/* Expected load of a server, as requests a slot. */
-double plain_server_load(const struct plain_server *server);
-
 #endif
--- a/store/keyed_follower.c
+++ b/store/keyed_follower.c
@@ -226,11 +226,3 @@
 	on_success(follower);
 	call_after(follower, apply_answer(follower) ? follower->pause_ns : 0);
 }
-
-int64_t keyed_follower_age_ns(const struct keyed_follower *follower,
-			      int64_t now_ns)
-{
-	if (follower->answered_ns == INT64_MIN)
-		return INT64_MAX;
-	return now_ns - follower->answered_ns;
-}
--- a/store/keyed_follower.h
+++ b/store/keyed_follower.h
@@ -72,8 +72,4 @@
 
 void keyed_follower_start(struct keyed_follower *follower);
 
-/* How long ago the newest answer was asked for; INT64_MAX: never. */
-int64_t keyed_follower_age_ns(const struct keyed_follower *follower,
-			      int64_t now_ns);
-
 #endif
