entry: show on the operators' port what a daemon believes

Logs and counters alone leave questions open while a system runs: which configuration this daemon has in force, who holds a lease, on which engine an item waits.

/status and its subjects on the metrics port answer with JSON: the daemon and the topics that it follows, configuration (without keys), hosts, servers with circuits and model versions, leases, batches, and the items of one batch. Lists are bounded at 1,000 rows and can be read on. 'currant status' prints them, one line a row, or as JSON. The port has a handler of its own, so that callers who ask for addresses reach neither these nor the counters.

--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -22,5 +22,6 @@
 int cmd_health(int argc, char **argv);
 int cmd_explain(int argc, char **argv);
 int cmd_report(int argc, char **argv);
+int cmd_status(int argc, char **argv);
 
 #endif
--- a/currant.c
+++ b/currant.c
@@ -17,6 +17,7 @@
 	{ "check", cmd_check },	      { "addresses", cmd_addresses },
 	{ "timeline", cmd_timeline }, { "health", cmd_health },
 	{ "explain", cmd_explain },   { "report", cmd_report },
+	{ "status", cmd_status },
 };
 
 static const char doc[] =
@@ -28,6 +29,7 @@
 	"  addresses  print the addresses that callers should use\n"
 	"  timeline   merge the events of several daemons\n"
 	"  health     ask each daemon whether it is ready\n"
+	"  status     show what each daemon on the platform believes\n"
 	"  explain    follow an id through the lines of all daemons\n"
 	"  report     sum up the lines of all daemons, with plots\n\n"
 	"Each command has its own --help." EXIT_STATUS_DOC;
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -266,6 +266,32 @@
 			  &daemon->counters, keep_ms, daemon->incarnation + 1);
 }
 
+static void init_status(struct entry_daemon *daemon)
+{
+	struct status_sources *status = &daemon->status;
+	const struct status_topic topics[] = {
+		{ "operators", &daemon->operator_feed.follower },
+		{ "servers", &daemon->server_feed.follower },
+		{ "hosts", &daemon->discovery.follower },
+		{ "duties", &daemon->duty_lease.follower },
+		{ "weights", &daemon->weight_board.follower },
+	};
+
+	status->settings = &daemon->settings;
+	status->incarnation = daemon->incarnation;
+	status->clock = &daemon->reactor.clock;
+	status->config = &daemon->config;
+	status->discovery = &daemon->discovery;
+	status->fleet = &daemon->fleet;
+	status->batches = &daemon->batches;
+	status->runner = &daemon->batch_runner;
+	status->lease = &daemon->duty_lease;
+	status->named = &daemon->named;
+	memcpy(status->topics, topics, sizeof(topics));
+	status->topic_count = ARRAY_SIZE(topics);
+	status_port_init(&daemon->status_port, status, &daemon->counters);
+}
+
 static int listen_on(struct entry_daemon *daemon, struct net_server *server,
 		     const char *address, const struct net_limits *limits,
 		     struct net_handler *handler, struct error *err)
@@ -302,7 +328,7 @@
 	       listen_on(daemon, &daemon->addresses, settings->addresses,
 			 &small, service, err) ||
 	       listen_on(daemon, &daemon->metrics, settings->metrics, &small,
-			 service, err);
+			 &daemon->status_port.handler, err);
 }
 
 static void set_metrics_address(struct entry_settings *settings, uint16_t port)
@@ -347,6 +373,7 @@
 	daemon->host_listener.changed = on_hosts_changed;
 	daemon->discovery.listener = &daemon->host_listener;
 	init_callers(daemon);
+	init_status(daemon);
 	crash_watch_init(&daemon->crash_watch, &daemon->discovery,
 			 &daemon->reactor.clock, &daemon->log,
 			 &daemon->counters);
--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -12,6 +12,7 @@
 #include "entry/entry_settings.h"
 #include "entry/named_versions.h"
 #include "entry/service_port.h"
+#include "entry/status_port.h"
 #include "forward/forward.h"
 #include "platform/duty_calls.h"
 #include "platform/operator_feed.h"
@@ -56,6 +57,8 @@
 	struct server_duty server_duty;
 	struct caller_port caller_port;
 	struct service_port service_port;
+	struct status_sources status;
+	struct status_port status_port;
 	struct net_server callers;
 	struct net_server ready;
 	struct net_server addresses;
--- a/entry/service_port.c
+++ b/entry/service_port.c
@@ -86,23 +86,6 @@
 	strbuf_finish(&body);
 }
 
-static void answer_metrics(struct service_port *port,
-			   struct net_request *request)
-{
-	struct net_answer answer = {
-		.status = 200,
-		.fields = "Content-Type: text/plain; version=0.0.4\r\n",
-	};
-	struct strbuf body;
-
-	strbuf_init(&body);
-	counter_set_print(port->counters, &body);
-	answer.body = body.buf;
-	answer.body_len = body.len;
-	net_request_answer(request, &answer);
-	strbuf_finish(&body);
-}
-
 static void on_request(struct net_handler *handler, struct net_request *request)
 {
 	struct service_port *port = port_of(handler);
@@ -127,9 +110,6 @@
 	case CALL_ADDRESSES:
 		answer_addresses(port, request, &call);
 		break;
-	case CALL_METRICS:
-		answer_metrics(port, request);
-		break;
 	default:
 		answer_refusal(request, &unknown);
 		break;
@@ -145,7 +125,6 @@
 	memset(port, 0, sizeof(*port));
 	port->handler.vt = &handler_vtable;
 	port->discovery = discovery;
-	port->counters = counters;
 	port->keep_ms = keep_ms;
 	rng_init(&port->rng, seed);
 	port->address_answers = counter_get(counters, "address_answers_total");
--- a/entry/service_port.h
+++ b/entry/service_port.h
@@ -6,13 +6,12 @@
 #include "net/net_server.h"
 
 /*
- * The ports for who asks about the system: whether this daemon is ready,
- * which entry hosts to call, and its counters.
+ * The ports for who asks about the system: whether this daemon is ready, and
+ * which entry hosts to call.
  */
 struct service_port {
 	struct net_handler handler;
 	struct discovery *discovery;
-	struct counter_set *counters;
 	struct rng rng;
 	uint32_t keep_ms; /* how long an answer with addresses holds */
 	int ready;
--- /dev/null
+++ b/entry/status_batches.h
@@ -0,0 +1,17 @@
+#ifndef ENTRY_STATUS_BATCHES_H
+#define ENTRY_STATUS_BATCHES_H
+
+#include "entry/status_page.h"
+
+/*
+ * Fills the page of accepted batches, as far as this daemon has read of them:
+ * a daemon reads those partitions that it runs or was asked about.
+ */
+void status_batches(const struct status_sources *sources, json_t *page,
+		    uint64_t from);
+
+/* Fills the page of one batch's items; -1 if this daemon has no such batch. */
+int status_items(const struct status_sources *sources, json_t *page,
+		 const char *batch, uint64_t from);
+
+#endif
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -64,6 +64,10 @@
 	void configure(uint64_t version = 1, const std::string &extra = "",
 		       bool with_route = true);
 	void wait_ready();
+	const struct config_holder *config() const
+	{
+		return &config_;
+	}
 
 	// Status of the answer to a call; 0 if the connection ended.
 	int submit(const Submission &submission);
--- a/t/test-client.cc
+++ b/t/test-client.cc
@@ -169,6 +169,25 @@
 		  "\"10.0.0.2:8000\"}],\"keep_ms\":5000}",
 		  0,
 		  "10.0.0.1:8000\n10.0.0.2:8000\n" },
+		{ { "status" },
+		  200,
+		  "{\"name\":\"e1\",\"ready\":true,\"topics\":[{\"name\":"
+		  "\"hosts\",\"failures\":0},{\"name\":\"duties\",\"failures\":"
+		  "2}]}",
+		  0,
+		  "e1 ready=true\n"
+		  "e1 topics name=hosts failures=0\n"
+		  "e1 topics name=duties failures=2\n" },
+		{ { "status", "leases" },
+		  200,
+		  "{\"name\":\"e1\",\"duty_holder\":\"\",\"partitions\":[]}",
+		  0,
+		  "e1 duty_holder=- partitions=[]\n" },
+		{ { "status", "--json", "hosts" },
+		  200,
+		  "{\"name\":\"e1\"}",
+		  0,
+		  "{\"name\":\"e1\"}\n" },
 		{ { "addresses" },
 		  503,
 		  "{\"addresses\":[],\"keep_ms\":5000}",
@@ -207,6 +226,62 @@
 		first->take_calls());
 }
 
+TEST_F(Client, StatusAsksEachDaemonForTheSubject)
+{
+	const struct {
+		std::vector<std::string> arguments;
+		std::string path;
+	} cases[] = {
+		{ {}, "/status" },
+		{ { "config" }, "/status/config" },
+		{ { "batches", "--from", "1000" },
+		  "/status/batches?from=1000" },
+		{ { "items", "--batch", "b-1" }, "/status/items?batch=b-1" },
+		{ { "items", "--batch", "b-1", "--from", "5" },
+		  "/status/items?batch=b-1&from=5" },
+	};
+
+	second->answer(200, "{\"name\":\"e1\"}");
+	first->answer(404, "{\"type\":\"no_such_page\"}");
+	for (const auto &c : cases) {
+		std::vector<std::string> arguments = c.arguments;
+
+		arguments.insert(arguments.begin(), "status");
+		arguments.insert(arguments.end(), { "-d", first->address(),
+						    "-d", second->address() });
+		Outcome outcome = run_client(arguments);
+
+		EXPECT_EQ(1, outcome.status) << "the first has no such page";
+		EXPECT_EQ("currant: " + first->address() +
+				  " has nothing to show: status 404\ne1\n",
+			  outcome.output);
+		for (FakeDaemon *daemon : { first, second })
+			EXPECT_EQ(std::vector<std::string>{ "GET " + c.path +
+							    " - " },
+				  daemon->take_calls());
+	}
+}
+
+TEST_F(Client, StatusRefusesAWrongCommandLine)
+{
+	const std::vector<std::string> cases[] = {
+		{ "weather" },
+		{ "hosts", "engines" },
+		{ "items" },
+		{ "hosts", "--batch", "b" },
+		{ "--from", "x" },
+		{ "--from", "-1" },
+		{ "items", "--batch", "a&b" },
+	};
+
+	for (auto arguments : cases) {
+		arguments.insert(arguments.begin(), "status");
+		arguments.insert(arguments.end(), { "-d", first->address() });
+		EXPECT_EQ(2, run_client(arguments).status) << arguments[1];
+	}
+	EXPECT_TRUE(first->take_calls().empty());
+}
+
 TEST_F(Client, EachStatementHasAnIdOfItsOwn)
 {
 	first->answer(200, accepted);
