policy: refuse keys that can't be confirmed where the platform says so

Cause: on a deployment made from a users' site file with 'closed' set, which shows in the settings as bounds.fail_closed, a host that was cut off from the store took a key 5.3 s after it had been withdrawn.

policy/key_trust holds since when the configuration is known to be the newest. The follower of a keyed topic tells that moment where all that stood has been told: at the end of a listing, and after each read up to the end. With the setting, a host that could not read for nine tenths of the bound answers keyed requests with 503 keys_unconfirmed, not run, and sends no second try; public routes go on. Without the setting nothing changes.

Tests: KeyTrust, KeyedFollowing.TellsAsOf..., Forward.TakesNoKey..., Forward.SendsNoSecondTry..., settings' cases.

--- a/entry/caller_port.c
+++ b/entry/caller_port.c
@@ -7,6 +7,8 @@
 
 /* When a caller may come back while no configuration is known yet. */
 #define NO_CONFIG_RETRY_NS (300 * NS_PER_MS)
+/* When it may ask a host that could not confirm keys; another one is better. */
+#define KEYS_RETRY_NS (300 * NS_PER_MS)
 
 static struct caller_port *port_of(struct net_handler *handler)
 {
@@ -46,6 +48,19 @@
 	answer_refusal(request, &refusal);
 }
 
+/* Whether the request was answered because no key can be taken for valid. */
+static int refuse_unconfirmed(struct caller_port *port,
+			      struct net_request *request,
+			      const struct caller_request *caller)
+{
+	if (key_trust_holds(&port->config->trust, request->whole_ns))
+		return 0;
+	deny(port, request, caller->id, 503, "keys_unconfirmed",
+	     "this host can not read whether keys were withdrawn",
+	     KEYS_RETRY_NS);
+	return 1;
+}
+
 /* Finds the team of the key; -1 if the request was answered for want of one. */
 static int check_key(struct caller_port *port, struct net_request *request,
 		     const struct caller_request *caller, int is_public,
@@ -55,7 +70,11 @@
 
 	*team = caller->secret ? entry_config_team(config, caller->secret)
 			       : NULL;
-	if (*team || is_public || !config->has_teams)
+	if (is_public || !config->has_teams)
+		return 0;
+	if (refuse_unconfirmed(port, request, caller))
+		return -1;
+	if (*team)
 		return 0;
 	deny(port, request, caller->id, 401, "key_invalid",
 	     "the key is not known or was withdrawn", -1);
--- a/entry/config_holder.h
+++ b/entry/config_holder.h
@@ -3,6 +3,7 @@
 
 #include "base/record_log.h"
 #include "entry/entry_config.h"
+#include "policy/key_trust.h"
 
 /*
  * The configuration that is in force on this daemon. It never goes back to an
@@ -11,6 +12,7 @@
 struct config_holder {
 	struct entry_config *current; /* NULL: none is known yet */
 	int64_t taken_ns;
+	struct key_trust trust; /* in the keys of it */
 	struct record_log *log;
 	void (*changed)(void *arg, const struct entry_config *config);
 	void *arg;
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -365,6 +365,7 @@
 	config_holder_init(&daemon->config, &daemon->log);
 	daemon->config.changed = on_config;
 	daemon->config.arg = daemon;
+	key_trust_set_bound(&daemon->config.trust, settings.key_expiry_ms);
 	fleet_init(&daemon->fleet);
 	init_store(daemon);
 	init_feeds(daemon);
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -55,6 +55,9 @@
 	uint32_t results_keep_ms; /* results of a batch can be read so long */
 	uint32_t settle_ms; /* until all daemons know of a batch */
 	uint32_t cancel_ms; /* until an ended batch's items stop */
+	/* A withdrawn key may be taken so long by a cut-off host; 0: no bound
+	 */
+	uint32_t key_expiry_ms;
 	uint32_t ack_ms; /* until a caller gives up an order of its own */
 };
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -187,10 +187,20 @@
 	       forward->route->kind == REQUEST_RESUMABLE;
 }
 
+/* Whether the caller's key may still be taken for valid. */
+static int key_counts(const struct forward *forward)
+{
+	const struct config_holder *config = forward->forwarder->config;
+
+	return forward->route->is_public || !forward->team ||
+	       key_trust_holds(&config->trust, now_ns(forward));
+}
+
 /* Tries a server that was not tried yet; returns 0 if there is none. */
 static int try_another(struct forward *forward)
 {
-	struct fleet_server *server = forward_choose(forward);
+	struct fleet_server *server =
+		key_counts(forward) ? forward_choose(forward) : NULL;
 
 	if (!server)
 		return 0;
@@ -206,6 +216,11 @@
 	if (forward->may_have_run)
 		refuse_unknown(forward, 502, "outcome_unknown",
 			       "no server gave a whole answer");
+	else if (!key_counts(forward))
+		refuse_not_run(forward, "keys_unconfirmed",
+			       "this host can not read whether keys were "
+			       "withdrawn",
+			       FULL_RETRY_NS);
 	else if (outcome == ATTEMPT_NOT_RUN)
 		refuse_not_run(forward, "overloaded",
 			       "all servers of the route are full",
--- a/store/keyed_follower.c
+++ b/store/keyed_follower.c
@@ -146,6 +146,12 @@
 	follower->vt->put(follower, key, value, len, offset);
 }
 
+static void tell_caught_up(struct keyed_follower *follower, int64_t as_of_ns)
+{
+	if (follower->vt->caught_up)
+		follower->vt->caught_up(follower, as_of_ns);
+}
+
 static void end_listing(struct keyed_follower *follower)
 {
 	follower->listing = 0;
@@ -153,6 +159,7 @@
 	follower->next = follower->listing_end;
 	if (follower->vt->listed)
 		follower->vt->listed(follower, follower->listing_end);
+	tell_caught_up(follower, follower->listing_began_ns);
 }
 
 static void on_page(struct topic_newest *newest)
@@ -167,8 +174,10 @@
 		return;
 	}
 	on_success(follower);
-	if (!follower->has_listing_end)
+	if (!follower->has_listing_end) {
 		follower->listing_end = newest->end;
+		follower->listing_began_ns = follower->began_ns;
+	}
 	follower->has_listing_end = 1;
 	if (!newest->has_more)
 		end_listing(follower);
@@ -211,6 +220,7 @@
 static void on_read(struct topic_read *read)
 {
 	struct keyed_follower *follower = read->arg;
+	int has_news;
 
 	follower->running = 0;
 	if (read->outcome == TOPIC_FORGOTTEN) {
@@ -224,5 +234,8 @@
 		return;
 	}
 	on_success(follower);
-	call_after(follower, apply_answer(follower) ? follower->pause_ns : 0);
+	has_news = apply_answer(follower) > 0;
+	if (follower->next >= read->end)
+		tell_caught_up(follower, follower->began_ns);
+	call_after(follower, has_news ? follower->pause_ns : 0);
 }
--- a/store/keyed_follower.h
+++ b/store/keyed_follower.h
@@ -25,6 +25,8 @@
 	 */
 	void (*listing)(struct keyed_follower *follower);
 	void (*listed)(struct keyed_follower *follower, uint64_t offset);
+	/* All that stood at `as_of_ns` was told. */
+	void (*caught_up)(struct keyed_follower *follower, int64_t as_of_ns);
 	/* Reads that failed work again, the last good one is so old. */
 	void (*gap)(struct keyed_follower *follower, int64_t away_ns);
 	/* The same, told once it lasts. All of these may be NULL. */
@@ -53,6 +55,7 @@
 	int listing; /* else reading */
 	int is_listed; /* was, at least once */
 	uint64_t listing_end; /* of the first page */
+	int64_t listing_began_ns; /* the call for that page did */
 	int has_listing_end;
 	uint64_t next;
 	uint32_t failures; /* in a row */
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -100,6 +100,15 @@
 		counter_set_finish(&counters_);
 	}
 
+	// Keys count for so long after they were confirmed, which was then.
+	void expire_keys(uint32_t bound_ms, int64_t confirmed_ms_ago)
+	{
+		key_trust_set_bound(&config_.trust, bound_ms);
+		config_.trust.confirmed_ns =
+			clock_now_ns(&loop_.reactor.clock) -
+			confirmed_ms_ago * NS_PER_MS;
+	}
+
 	void configure()
 	{
 		struct error err = ERROR_INIT;
@@ -343,6 +352,66 @@
 	EXPECT_TRUE(runs_.teams.empty());
 }
 
+// A host that is cut off can't see that a key was withdrawn.
+TEST_F(Forward, TakesNoKeyThatItCannotConfirm)
+{
+	const struct {
+		const char *name;
+		const char *path, *fields;
+		uint32_t bound_ms;
+		int64_t confirmed_ms_ago;
+		int status;
+	} cases[] = {
+		{ "confirmed", "/i/", "Api-Key: k1\r\n", 1000, 0, 200 },
+		{ "too long ago", "/i/", "Api-Key: k1\r\n", 1000, 950, 503 },
+		{ "a key that was not known", "/i/", "Api-Key: new\r\n", 1000,
+		  950, 503 },
+		{ "no key is needed", "/p/", "", 1000, 950, 200 },
+		{ "no bound", "/i/", "Api-Key: k1\r\n", 0, 1000000, 200 },
+	};
+
+	configure();
+	add("a", reply());
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		expire_keys(c.bound_ms, c.confirmed_ms_ago);
+		std::string answer = ask(request(c.path, c.fields));
+
+		EXPECT_EQ(c.status, status(answer)) << answer;
+		if (c.status != 503)
+			continue;
+		for (const char *part :
+		     { "keys_unconfirmed", "not_run", "Retry-After: 0.3" })
+			EXPECT_NE(std::string::npos, answer.find(part))
+				<< answer;
+	}
+	EXPECT_EQ(3, asked());
+	expire_keys(1000, 950);
+	EXPECT_EQ(503, status(ask("GET /v1/lots/b1 HTTP/1.1\r\nHost: h\r\n"
+				  "Api-Key: k1\r\n\r\n")))
+		<< "results of a batch are the team's, too";
+}
+
+// The first server refuses it while the key's time runs out.
+TEST_F(Forward, SendsNoSecondTryWithAKeyThatItCannotConfirm)
+{
+	configure();
+	for (const char *id : { "a", "b" })
+		add(id, [](const ServerSaw &) {
+			ServerReply r = not_run();
+
+			r.delay_ms = 100;
+			return r;
+		});
+	expire_keys(1000, 850);
+	std::string answer = ask(request("/o/"));
+
+	EXPECT_EQ(503, status(answer));
+	EXPECT_NE(std::string::npos, answer.find("keys_unconfirmed")) << answer;
+	EXPECT_NE(std::string::npos, answer.find("not_run")) << answer;
+	EXPECT_EQ(1, asked());
+}
+
 TEST_F(Forward, ASecondTryRescuesASlowOneAndTheFirstIsCancelled)
 {
 	int calls = 0;
--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -77,6 +77,37 @@
 	EXPECT_EQ(4000u, s.ack_ms) << "left out";
 }
 
+// The pages leave open what these fields mean, and that they may be empty.
+TEST(PlatformSettings, KeysExpireOnlyWhereThePlatformSaysSo)
+{
+	const struct {
+		const char *fields;
+		uint32_t expiry_ms;
+	} cases[] = {
+		{ "", 0 },
+		{ "\"revoke_ms\": 5000, ", 0 },
+		{ "\"fail_closed\": false, \"revoke_ms\": 5000, ", 0 },
+		{ "\"fail_closed\": null, ", 0 },
+		{ "\"fail_closed\": \"\", \"revoke_ms\": \"\", ", 0 },
+		{ "\"fail_closed\": true, \"revoke_ms\": 3000, ", 3000 },
+		{ "\"fail_closed\": true, ", 5000 },
+		{ "\"fail_closed\": true, \"revoke_ms\": null, ", 5000 },
+	};
+
+	for (const auto &c : cases) {
+		std::string text =
+			replaced("\"bounds\": {",
+				 std::string("\"bounds\": {") + c.fields);
+		struct entry_settings s;
+		struct error err = ERROR_INIT;
+
+		ASSERT_EQ(0, platform_settings_decode(text.c_str(), text.size(),
+						      &s, &err))
+			<< err.text;
+		EXPECT_EQ(c.expiry_ms, s.key_expiry_ms) << c.fields;
+	}
+}
+
 TEST(PlatformSettings, AreRefusedWithTheFieldThatIsWrong)
 {
 	const SettingsCase cases[] = {
--- a/t/test-policy-entry.cc
+++ b/t/test-policy-entry.cc
@@ -15,6 +15,7 @@
 #include "policy/item_move.h"
 #include "policy/item_order.h"
 #include "policy/item_place.h"
+#include "policy/key_trust.h"
 #include "policy/partition_owner.h"
 #include "policy/plain_choice.h"
 #include "policy/version_plan.h"
@@ -135,6 +136,36 @@
 
 } // namespace
 
+// A host is cut off at 10 s; its bound is 5 s.
+TEST(KeyTrust, EndsBeforeTheBound)
+{
+	const struct {
+		const char *name;
+		uint32_t bound_ms;
+		int64_t now_ms;
+		int holds;
+	} cases[] = {
+		{ "just read", 5000, 10000, 1 },
+		{ "between two reads", 5000, 12000, 1 },
+		{ "cut off for most of the bound", 5000, 14500, 1 },
+		{ "the rest is for the way to the server", 5000, 14501, 0 },
+		{ "cut off for long", 5000, 100000, 0 },
+		{ "a shorter bound", 1000, 10901, 0 },
+		{ "no bound", 0, 100000, 1 },
+	};
+
+	for (const auto &c : cases) {
+		struct key_trust trust = {};
+
+		key_trust_set_bound(&trust, c.bound_ms);
+		key_trust_confirm(&trust, 10 * NS_PER_S);
+		key_trust_confirm(&trust, 9 * NS_PER_S); /* came late */
+		EXPECT_EQ(c.holds,
+			  key_trust_holds(&trust, c.now_ms * NS_PER_MS))
+			<< c.name;
+	}
+}
+
 TEST(PlainChoice, TakesTheLeastLoadedThenTheNearest)
 {
 	const ChoiceCase cases[] = {
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -502,6 +502,7 @@
 	int listings = 0;
 	int lost = 0;
 	int regained = 0;
+	int64_t as_of_ns = 0;
 };
 
 Keys *keys_of(struct keyed_follower *base)
@@ -536,6 +537,11 @@
 						   : keys->values.erase(at);
 }
 
+void on_caught_up(struct keyed_follower *base, int64_t as_of_ns)
+{
+	keys_of(base)->as_of_ns = as_of_ns;
+}
+
 void on_lost(struct keyed_follower *base, enum topic_outcome)
 {
 	keys_of(base)->lost++;
@@ -546,9 +552,10 @@
 	keys_of(base)->regained++;
 }
 
-const struct keyed_follower_vtable keys_vtable = {
-	on_put, on_drop, on_listing, on_listed, nullptr, on_lost, on_regained
-};
+const struct keyed_follower_vtable keys_vtable = { on_put,	 on_drop,
+						   on_listing,	 on_listed,
+						   on_caught_up, nullptr,
+						   on_lost,	 on_regained };
 
 class KeyedFollowing : public TopicStore
 {
@@ -615,6 +622,37 @@
 	EXPECT_EQ(1, keys_.regained);
 }
 
+// What is told may be old; since when is known.
+TEST_F(KeyedFollowing, TellsAsOfWhenAllIsTold)
+{
+	int64_t last;
+	int refused = 0;
+
+	topics_.faults = [&](const std::string &kind, const std::string &) {
+		return refused && (refused == 2 || kind == "read")
+			       ? Fault::REFUSED
+			       : Fault::NONE;
+	};
+	for (int i = 0; i < 7; i++)
+		topics_.put("keyed.x", "k" + std::to_string(i), "1");
+	keyed_follower_start(&keys_.base);
+	time_.run(100);
+	EXPECT_EQ(7u, keys_.values.size());
+	EXPECT_LE(time_.now_ns() - keys_.as_of_ns, 100 * NS_PER_MS)
+		<< "the listing tells";
+	time_.run(5000);
+	EXPECT_LT(time_.now_ns() - keys_.as_of_ns, 2100 * NS_PER_MS)
+		<< "a wait without news, and the one that runs";
+	refused = 1;
+	time_.run(2000);
+	last = keys_.as_of_ns;
+	time_.run(5000);
+	EXPECT_EQ(last, keys_.as_of_ns) << "nothing was read since";
+	refused = 0;
+	time_.run(3000);
+	EXPECT_LT(time_.now_ns() - keys_.as_of_ns, 2100 * NS_PER_MS);
+}
+
 // A connection that falls silent is noticed by its time-out alone.
 TEST_F(KeyedFollowing, ASilentCallIsGivenUpInTime)
 {
