policy: look at every server of a large service

Cause: three choices looked at the first servers of a service alone, in the order in which they had come: 64 for a single request, 128 for an item of a batch, 1,024 for loads of weights. Beyond that servers stayed idle, and where the first ones left, lacked the model or had the weights already, requests were refused, items never ran and versions were not loaded.

policy/choice_sample gives each candidate the same chance to be looked at, and all of them where there is room, so that nothing changes up to 64 and 128. A round of items lists engines once for each service and model. Whether a text is stranded is asked of all engines, not of the sample. Loads are planned over all engines, which are found by hash.

--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "policy/choice_sample.h"
 #include "policy/item_order.h"
 
 /* Part of an engine's memory that runs are planned into. */
@@ -75,16 +76,37 @@
 	return engine_pace_typical(paces, count);
 }
 
+static uint32_t count_servers(const struct fleet *fleet, const char *service)
+{
+	uint32_t count = 0;
+
+	for (const struct fleet_server *s = fleet->first; s; s = s->next)
+		count += !strcmp(s->entry.service, service);
+	return count;
+}
+
 void runner_list_engines(struct batch_runner *runner, const char *service,
-			 struct engine_list *list)
+			 const char *model, struct engine_list *list)
 {
+	int are_many = count_servers(runner->fleet, service) >
+		       CHOICE_ENGINES_MAX;
+	struct choice_sample sample;
+
 	list->service = entry_config_service(runner->config->current, service);
-	list->count = 0;
-	for (struct fleet_server *s = runner->fleet->first;
-	     s && list->count < CHOICE_ENGINES_MAX; s = s->next)
-		if (!strcmp(s->entry.service, service))
-			list->engines[list->count++] =
+	choice_sample_begin(&sample, CHOICE_ENGINES_MAX);
+	for (struct fleet_server *s = runner->fleet->first; s; s = s->next) {
+		int32_t place;
+
+		if (strcmp(s->entry.service, service) ||
+		    (are_many && *model &&
+		     !server_entry_version(&s->entry, model)))
+			continue;
+		place = choice_sample_place(&sample, &runner->rng);
+		if (place >= 0)
+			list->engines[place] =
 				engine_state_get(s, &runner->engines);
+	}
+	list->count = sample.count;
 	list->typical_ns = typical_pace(runner, list);
 }
 
@@ -103,18 +125,24 @@
 	       item->made.versions[0] == version;
 }
 
-int runner_text_is_stranded(const struct run_item *item,
-			    const struct engine_list *list)
+/* Version of the model's weights there, as far as known. */
+static uint64_t server_version(const struct fleet_server *server,
+			       const char *model)
+{
+	return server->engine ? engine_state_version(server->engine, model)
+			      : server_entry_version(&server->entry, model);
+}
+
+int runner_text_is_stranded(const struct batch_runner *runner,
+			    const struct run_item *item, const char *service)
 {
 	const struct item_text *made = &item->made;
 
 	if (!item->owner->batch->single_version || !made->version_count)
 		return 0;
-	for (uint32_t i = 0; i < list->count; i++)
-		if (!list->engines[i]->server->gone &&
-		    engine_state_version(list->engines[i],
-					 runner_model(item)) ==
-			    made->versions[0])
+	for (struct fleet_server *s = runner->fleet->first; s; s = s->next)
+		if (!strcmp(s->entry.service, service) &&
+		    server_version(s, runner_model(item)) == made->versions[0])
 			return 0;
 	return 1;
 }
--- a/batch/runner_choice.h
+++ b/batch/runner_choice.h
@@ -7,7 +7,10 @@
 /* Engines that one choice looks at. */
 #define CHOICE_ENGINES_MAX 128
 
-/* The engines of a service, as one round of choices sees them. */
+/*
+ * The engines of a service, as one round of choices sees them: all of them,
+ * or a sample of those that have the model.
+ */
 struct engine_list {
 	const struct entry_service *service; /* NULL: not in the config */
 	struct engine_state *engines[CHOICE_ENGINES_MAX];
@@ -25,8 +28,9 @@
 const char *runner_item_service(const struct batch_runner *runner,
 				const struct run_item *item);
 
+/* `model` "": any. */
 void runner_list_engines(struct batch_runner *runner, const char *service,
-			 struct engine_list *list);
+			 const char *model, struct engine_list *list);
 
 void runner_item_need(const struct run_item *item,
 		      const struct entry_service *service,
@@ -47,11 +51,11 @@
 					  struct place_engine *view);
 
 /*
- * Whether the item must keep to one version of the weights, and no engine has
- * that of its text any more.
+ * Whether the item must keep to one version of the weights, and no engine of
+ * the service has that of its text any more.
  */
-int runner_text_is_stranded(const struct run_item *item,
-			    const struct engine_list *list);
+int runner_text_is_stranded(const struct batch_runner *runner,
+			    const struct run_item *item, const char *service);
 
 /* Time of a token at the engine with so many runs of this daemon. */
 double runner_token_ns(const struct batch_runner *runner,
--- a/batch/runner_move.c
+++ b/batch/runner_move.c
@@ -81,7 +81,7 @@
 	struct engine_list list;
 	double best_ns;
 
-	runner_list_engines(runner, service, &list);
+	runner_list_engines(runner, service, "", &list);
 	best_ns = best_token_ns(runner, &list);
 	if (!best_ns)
 		return 0;
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -153,7 +153,7 @@
 	struct place_engine view;
 	struct engine_state *engine;
 
-	if (runner_text_is_stranded(w->item, list)) {
+	if (runner_text_is_stranded(runner, w->item, w->service)) {
 		report_restart(runner, w->item);
 		item_text_reset(&w->item->made);
 		runner_item_need(w->item, list->service, &w->need);
@@ -164,17 +164,48 @@
 		start_at(runner, w->item, engine, &w->need, NULL);
 }
 
+/* The lists that one round has made, one for each service and model. */
+struct round_list {
+	const char *service;
+	const char *model;
+	struct engine_list engines;
+	struct round_list *next;
+};
+
+static const struct engine_list *get_list(struct batch_runner *runner,
+					  struct round_list **lists,
+					  const struct waiting *w)
+{
+	const char *model = runner_model(w->item);
+	struct round_list *list = *lists;
+
+	while (list && (strcmp(list->service, w->service) ||
+			strcmp(list->model, model)))
+		list = list->next;
+	if (list)
+		return &list->engines;
+	list = xcalloc(1, sizeof(*list));
+	list->service = w->service;
+	list->model = model;
+	list->next = *lists;
+	*lists = list;
+	runner_list_engines(runner, w->service, model, &list->engines);
+	return &list->engines;
+}
+
 static void start_items(struct batch_runner *runner, struct waiting *waiting,
 			uint32_t count)
 {
-	struct engine_list list = { 0 };
-	const char *listed = NULL;
-
-	for (uint32_t i = 0; i < count; i++) {
-		if (waiting[i].service != listed)
-			runner_list_engines(runner, waiting[i].service, &list);
-		listed = waiting[i].service;
-		start_item(runner, &waiting[i], &list);
+	struct round_list *lists = NULL;
+
+	for (uint32_t i = 0; i < count; i++)
+		start_item(runner, &waiting[i],
+			   get_list(runner, &lists, &waiting[i]));
+	while (lists) {
+		struct round_list *next = lists->next;
+
+		free(lists);
+		lists = next;
 	}
 }
 
--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 #include "policy/version_plan.h"
 
-#define ENGINES_MAX 1024
 #define ORDER_TIMEOUT_NS (500 * NS_PER_MS)
 #define REPORT_TIMEOUT_NS (400 * NS_PER_MS)
 /* Pause between two questions whether a load is over. */
@@ -51,6 +51,7 @@
 	struct engine_report report;
 	struct timer timer;
 	struct duty_engine *next;
+	struct duty_engine *next_in_bucket;
 };
 
 static void plan_soon(struct version_duty *duty);
@@ -94,25 +95,46 @@
 	engine->phase = PHASE_IDLE;
 }
 
+static struct duty_engine **bucket_of(struct version_duty *duty,
+				      const struct fleet_server *server)
+{
+	uint64_t hash = hash_text(server->entry.id, 0);
+
+	return &duty->buckets[hash % VERSION_DUTY_BUCKETS];
+}
+
 static void free_engine(struct duty_engine *engine)
 {
 	struct duty_engine **at = &engine->duty->engines;
+	struct duty_engine **in = bucket_of(engine->duty, engine->server);
 
 	cancel_calls(engine);
 	while (*at != engine)
 		at = &(*at)->next;
 	*at = engine->next;
+	while (*in != engine)
+		in = &(*in)->next_in_bucket;
+	*in = engine->next_in_bucket;
 	fleet_server_release(engine->server);
 	free(engine);
 }
 
+static struct duty_engine *find_engine(struct version_duty *duty,
+				       const struct fleet_server *server)
+{
+	struct duty_engine *engine = *bucket_of(duty, server);
+
+	while (engine && engine->server != server)
+		engine = engine->next_in_bucket;
+	return engine;
+}
+
 static struct duty_engine *get_engine(struct version_duty *duty,
 				      struct fleet_server *server)
 {
-	struct duty_engine *engine = duty->engines;
+	struct duty_engine **bucket = bucket_of(duty, server);
+	struct duty_engine *engine = find_engine(duty, server);
 
-	while (engine && engine->server != server)
-		engine = engine->next;
 	if (engine)
 		return engine;
 	engine = xcalloc(1, sizeof(*engine));
@@ -121,6 +143,8 @@
 	engine->orders = -1;
 	engine->next = duty->engines;
 	duty->engines = engine;
+	engine->next_in_bucket = *bucket;
+	*bucket = engine;
 	return engine;
 }
 
@@ -340,8 +364,7 @@
 {
 	uint32_t count = 0;
 
-	for (struct fleet_server *s = duty->fleet->first;
-	     s && count < ENGINES_MAX; s = s->next)
+	for (struct fleet_server *s = duty->fleet->first; s; s = s->next)
 		for (uint32_t i = 0; i < duty->needs.count; i++)
 			if (!strcmp(duty->needs.models[i].need.service,
 				    s->entry.service)) {
@@ -381,7 +404,8 @@
 
 static void plan(struct version_duty *duty)
 {
-	struct duty_engine **engines = xcalloc(ENGINES_MAX, sizeof(void *));
+	struct duty_engine **engines =
+		xcalloc(duty->fleet->count + 1, sizeof(struct duty_engine *));
 	struct plan_model models[PLAN_MODELS_MAX];
 	uint32_t count = collect_engines(duty, engines);
 	struct plan_engine *views = xcalloc(count + 1, sizeof(*views));
@@ -459,10 +483,8 @@
 			      struct fleet_server *server)
 {
 	struct version_duty *duty = fleet_duty(listener);
-	struct duty_engine *engine = duty->engines;
+	struct duty_engine *engine = find_engine(duty, server);
 
-	while (engine && engine->server != server)
-		engine = engine->next;
 	if (engine)
 		free_engine(engine);
 	plan_soon(duty);
--- a/duty/version_duty.h
+++ b/duty/version_duty.h
@@ -16,6 +16,8 @@
  */
 struct duty_engine;
 
+#define VERSION_DUTY_BUCKETS 1024
+
 struct version_duty {
 	struct duty_lease_listener lease_listener;
 	struct weight_board_listener board_listener;
@@ -31,6 +33,7 @@
 	struct record_log *log;
 	const char *holder;
 	struct duty_engine *engines;
+	struct duty_engine *buckets[VERSION_DUTY_BUCKETS]; /* by server id */
 	struct need_table needs;
 	struct timer soon;
 	int soon_pending;
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "entry/answers.h"
 #include "forward/forward_private.h"
+#include "policy/choice_sample.h"
 #include "policy/plain_choice.h"
 
 /* Servers of one service that a choice looks at. */
@@ -147,17 +148,27 @@
 	struct fleet *fleet = forward->forwarder->fleet;
 	struct fleet_server *servers[CHOICE_MAX];
 	struct plain_server views[CHOICE_MAX];
-	uint32_t count = 0;
+	struct rng *rng = &forward->forwarder->rng;
+	struct choice_sample sample;
 	int32_t chosen;
 
-	for (struct fleet_server *s = fleet->first; s && count < CHOICE_MAX;
-	     s = s->next) {
+	choice_sample_begin(&sample, CHOICE_MAX);
+	for (struct fleet_server *s = fleet->first; s; s = s->next) {
+		struct plain_server view;
+		int32_t place;
+
 		if (strcmp(s->entry.service, forward->service))
 			continue;
-		view_server(forward, s, &views[count]);
-		servers[count++] = s;
+		view_server(forward, s, &view);
+		if (!view.usable || view.tried)
+			continue;
+		place = choice_sample_place(&sample, rng);
+		if (place < 0)
+			continue;
+		views[place] = view;
+		servers[place] = s;
 	}
-	chosen = plain_choice(views, count, &forward->forwarder->rng);
+	chosen = plain_choice(views, sample.count, rng);
 	return chosen < 0 ? NULL : servers[chosen];
 }
 
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -48,16 +48,18 @@
 	return "127.0.0.1:" + std::to_string(net_server_port(&server_));
 }
 
-void FakeServer::join(struct fleet *fleet, const std::string &service,
-		      const std::string &model, uint64_t version, bool leaving,
-		      uint32_t slots)
+// An entry of a server that may have one model; the fleet takes its memory.
+static void put_entry(struct fleet *fleet, uint64_t offset,
+		      const std::string &id, const std::string &address,
+		      const std::string &service, const std::string &model,
+		      uint64_t version, bool leaving, uint32_t slots)
 {
 	struct server_entry entry;
 
 	server_entry_init(&entry);
-	copy_text(entry.id, sizeof(entry.id), id_.c_str());
+	copy_text(entry.id, sizeof(entry.id), id.c_str());
 	copy_text(entry.service, sizeof(entry.service), service.c_str());
-	copy_text(entry.address, sizeof(entry.address), address().c_str());
+	copy_text(entry.address, sizeof(entry.address), address.c_str());
 	copy_text(entry.data_centre, sizeof(entry.data_centre), "dc");
 	entry.slots = slots;
 	entry.leaving = leaving;
@@ -69,7 +71,24 @@
 		entry.models[0].version = version;
 		entry.model_count = 1;
 	}
-	fleet_put(fleet, &entry, ++offset_);
+	fleet_put(fleet, &entry, offset);
+}
+
+void FakeServer::join(struct fleet *fleet, const std::string &service,
+		      const std::string &model, uint64_t version, bool leaving,
+		      uint32_t slots)
+{
+	put_entry(fleet, ++offset_, id_, address(), service, model, version,
+		  leaving, slots);
+}
+
+void put_absent_servers(struct fleet *fleet, int count,
+			const std::string &service, const std::string &model,
+			bool leaving)
+{
+	for (int i = 0; i < count; i++)
+		put_entry(fleet, 1, "absent" + std::to_string(i), "127.0.0.1:1",
+			  service, model, 1, leaving, 4);
 }
 
 static std::string field(const struct http_head *head, const char *name)
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -97,4 +97,9 @@
 	uint64_t offset_ = 0;
 };
 
+// Puts entries of servers into a fleet that nobody has started.
+void put_absent_servers(struct fleet *fleet, int count,
+			const std::string &service, const std::string &model,
+			bool leaving);
+
 #endif
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -147,6 +147,20 @@
 	EXPECT_EQ(4u, engines_[0]->seen.size());
 }
 
+// More engines than one choice looks at, and those with the model come last.
+TEST_F(Batches, RunWhereTheModelIsAmongManyEngines)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+
+	put_absent_servers(&host->fleet, 300, "s", "other", false);
+	add_engine("e", stream());
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 4);
+}
+
 // Answers hold as many results as a megabyte takes, and no more.
 TEST_F(Batches, AreReadInAnswersOfBoundedSize)
 {
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -352,6 +353,24 @@
 	EXPECT_TRUE(runs_.teams.empty());
 }
 
+// More servers than one choice looks at, and the sound ones come last.
+TEST_F(Forward, UsesEveryServerOfALargeService)
+{
+	std::set<std::string> used;
+
+	configure();
+	put_absent_servers(&fleet_, 200, "s", "", true);
+	for (int i = 0; i < 70; i++)
+		add("sound" + std::to_string(i), reply());
+	for (int i = 0; i < 1000 && used.size() < 70; i++) {
+		ASSERT_EQ(200, status(ask(request("/i/"))));
+		for (auto &server : servers_)
+			if (!server->seen.empty())
+				used.insert(server->id());
+	}
+	EXPECT_EQ(70u, used.size());
+}
+
 // A host that is cut off can't see that a key was withdrawn.
 TEST_F(Forward, TakesNoKeyThatItCannotConfirm)
 {
--- a/t/test-policy-entry.cc
+++ b/t/test-policy-entry.cc
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "policy/address_answer.h"
 #include "policy/attempt_plan.h"
+#include "policy/choice_sample.h"
 #include "policy/engine_pace.h"
 #include "policy/item_move.h"
 #include "policy/item_order.h"
@@ -136,6 +137,50 @@
 
 } // namespace
 
+// 64 of 640 candidates are looked at, each as often as any other.
+TEST(ChoiceSample, LooksAtEachCandidateAlike)
+{
+	const uint32_t limit = 64, candidates = 640;
+	const int rounds = 4000;
+	std::vector<int> looked(candidates);
+	struct rng rng;
+
+	rng_init(&rng, 1);
+	for (int round = 0; round < rounds; round++) {
+		std::vector<uint32_t> places(limit, candidates);
+		struct choice_sample sample;
+
+		choice_sample_begin(&sample, limit);
+		for (uint32_t i = 0; i < candidates; i++) {
+			int32_t place = choice_sample_place(&sample, &rng);
+
+			if (i < limit) {
+				EXPECT_EQ((int32_t)i, place);
+			}
+			if (place >= 0)
+				places[(size_t)place] = i;
+		}
+		EXPECT_EQ(limit, sample.count);
+		for (uint32_t candidate : places)
+			looked[candidate]++;
+	}
+	/* 400 times each; six standard deviations are 114. */
+	for (int times : looked)
+		EXPECT_NEAR(rounds * (int)limit / (int)candidates, times, 114);
+}
+
+TEST(ChoiceSample, LooksAtAllWhereThereIsRoom)
+{
+	struct choice_sample sample;
+	struct rng rng;
+
+	rng_init(&rng, 1);
+	choice_sample_begin(&sample, 5);
+	for (int32_t i = 0; i < 5; i++)
+		EXPECT_EQ(i, choice_sample_place(&sample, &rng));
+	EXPECT_EQ(5u, sample.count);
+}
+
 // A host is cut off at 10 s; its bound is 5 s.
 TEST(KeyTrust, EndsBeforeTheBound)
 {
