policy: let teams take turns at the engines

Cause: items of all open batches waited in one order, earlier steps first and long items first. A team with thousands of long items, or with a smaller step number, kept another team's small batch of the same model waiting until all of its own had started. Priorities of teams and routes did not count at all.

policy/team_turns orders them anew: more urgent teams first, then always the team with the fewest running items; within a team the order stays. With one team nothing changes. batch_taken lines name the team. due_ns of the order, which was never set, is gone.

At a daemon: Batches.OfTwoTeamsRunInTurns.

--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -137,6 +137,7 @@
 	record_begin(&record, runner->log, "items",
 		     ok ? "batch_taken" : "batch_not_read");
 	record_text(&record, "batch", batch->batch->id);
+	record_text(&record, "team", batch->batch->team);
 	record_text(&record, "model", batch->batch->model);
 	record_int(&record, "step", (int64_t)batch->batch->step);
 	record_int(&record, "items", batch->batch->item_count);
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -3,16 +3,7 @@
 
 #include "base/alloc.h"
 #include "batch/batch_runner_private.h"
-#include "batch/runner_choice.h"
-#include "policy/item_order.h"
-
-/* An item that waits, with its place in the order. */
-struct waiting {
-	struct run_item *item;
-	const char *service;
-	struct item_need need;
-	struct item_rank rank;
-};
+#include "batch/waiting_item.h"
 
 static uint32_t count_waiting(const struct batch_runner *runner)
 {
@@ -26,7 +17,7 @@
 
 /* Returns 0 for an item whose route is gone. */
 static int describe(struct batch_runner *runner, struct run_item *item,
-		    struct waiting *out)
+		    struct waiting_item *out)
 {
 	const struct run_group *group = &item->owner->groups[item->group];
 
@@ -44,12 +35,11 @@
 	out->rank.group_left = group->left;
 	out->rank.group_size = group->size;
 	out->rank.number = item->number;
-	out->rank.due_ns = 0;
 	return 1;
 }
 
 static uint32_t collect_batch(struct batch_runner *runner,
-			      struct run_batch *batch, struct waiting *out)
+			      struct run_batch *batch, struct waiting_item *out)
 {
 	int64_t now_ns = runner_now_ns(runner);
 	uint32_t count = 0;
@@ -68,8 +58,8 @@
 
 static int compare_waiting(const void *a, const void *b)
 {
-	return item_order_compare(&((const struct waiting *)a)->rank,
-				  &((const struct waiting *)b)->rank);
+	return item_order_compare(&((const struct waiting_item *)a)->rank,
+				  &((const struct waiting_item *)b)->rank);
 }
 
 static void report_start(struct batch_runner *runner,
@@ -147,7 +137,7 @@
 	record_end(&record);
 }
 
-static void start_item(struct batch_runner *runner, struct waiting *w,
+static void start_item(struct batch_runner *runner, struct waiting_item *w,
 		       const struct engine_list *list)
 {
 	struct place_engine view;
@@ -174,7 +164,7 @@
 
 static const struct engine_list *get_list(struct batch_runner *runner,
 					  struct round_list **lists,
-					  const struct waiting *w)
+					  const struct waiting_item *w)
 {
 	const char *model = runner_model(w->item);
 	struct round_list *list = *lists;
@@ -193,8 +183,8 @@
 	return &list->engines;
 }
 
-static void start_items(struct batch_runner *runner, struct waiting *waiting,
-			uint32_t count)
+static void start_items(struct batch_runner *runner,
+			struct waiting_item *waiting, uint32_t count)
 {
 	struct round_list *lists = NULL;
 
@@ -212,7 +202,7 @@
 void runner_place_items(struct batch_runner *runner)
 {
 	uint32_t room = count_waiting(runner);
-	struct waiting *waiting;
+	struct waiting_item *waiting;
 	uint32_t count = 0;
 
 	if (!room || !runner->config->current)
@@ -222,6 +212,7 @@
 		for (struct run_batch *b = o->batches; b; b = b->next)
 			count += collect_batch(runner, b, waiting + count);
 	qsort(waiting, count, sizeof(*waiting), compare_waiting);
+	runner_take_turns(runner, waiting, count);
 	start_items(runner, waiting, count);
 	free(waiting);
 }
--- a/entry/entry_config.c
+++ b/entry/entry_config.c
@@ -181,6 +181,15 @@
 	return NULL;
 }
 
+const struct entry_team *
+entry_config_team_named(const struct entry_config *config, const char *name)
+{
+	for (uint32_t i = 0; i < config->team_count; i++)
+		if (!strcmp(config->teams[i].name, name))
+			return &config->teams[i];
+	return NULL;
+}
+
 const struct entry_service *
 entry_config_service(const struct entry_config *config, const char *name)
 {
--- a/entry/entry_config.h
+++ b/entry/entry_config.h
@@ -125,6 +125,10 @@
 const struct entry_team *entry_config_team(const struct entry_config *config,
 					   const char *secret);
 
+/* The team of that name; NULL if there is none. */
+const struct entry_team *
+entry_config_team_named(const struct entry_config *config, const char *name);
+
 const struct entry_service *
 entry_config_service(const struct entry_config *config, const char *name);
 
--- a/policy/item_order.h
+++ b/policy/item_order.h
@@ -12,7 +12,6 @@
  * the step late; groups that have begun go before those that have not. Pure.
  */
 struct item_rank {
-	int64_t due_ns; /* of its batch */
 	uint64_t step; /* of its batch */
 	int is_required; /* its group was in an earlier batch */
 	double tokens_left; /* expected */
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -464,6 +464,29 @@
 		  0);
 }
 
+// One team's many long items come before another one's few short ones.
+TEST_F(Batches, OfTwoTeamsRunInTurns)
+{
+	BatchHost *host = add_host("a");
+	Submission large, small;
+	ReadAnswer answer;
+	size_t large_runs = 0;
+
+	large.id = "large";
+	large.key = "k2";
+	large.groups = 20;
+	large.length_hint = 500;
+	add_engine("e", stream(10, 10));
+	ASSERT_EQ(202, host->submit(large));
+	ASSERT_EQ(202, host->submit(small));
+	ASSERT_TRUE(host->read_all(small, &answer));
+	expect_whole(small, answer, 10);
+	for (const ServerSaw &saw : engines_[0]->seen)
+		large_runs += saw.team == "blue";
+	EXPECT_GE(large_runs, 4u);
+	EXPECT_LT(large_runs, 20u) << "half of the large one has not begun";
+}
+
 // Items that come again with another batch, as far as weights allow.
 TEST_F(Batches, ReuseTextsOfGroupsThatComeAgain)
 {
--- a/t/test-policy-entry.cc
+++ b/t/test-policy-entry.cc
@@ -19,6 +19,7 @@
 #include "policy/key_trust.h"
 #include "policy/partition_owner.h"
 #include "policy/plain_choice.h"
+#include "policy/team_turns.h"
 #include "policy/version_plan.h"
 }
 
@@ -420,6 +421,131 @@
 
 } // namespace
 
+TEST(TeamTurns, GoByUrgencyThenByWhatRuns)
+{
+	const struct {
+		const char *name;
+		std::vector<struct turn_team> teams;
+		std::vector<uint32_t> team_of;
+		std::vector<uint32_t> order;
+	} cases[] = {
+		{ "none", {}, {}, {} },
+		{ "one team keeps its order",
+		  { { 1, 5 } },
+		  { 0, 0, 0 },
+		  { 0, 1, 2 } },
+		{ "two teams in turn",
+		  { { 1, 0 }, { 1, 0 } },
+		  { 0, 0, 0, 1, 1 },
+		  { 0, 3, 1, 4, 2 } },
+		{ "who runs more waits",
+		  { { 1, 2 }, { 1, 0 } },
+		  { 0, 0, 1, 1, 1, 1 },
+		  { 2, 3, 0, 4, 1, 5 } },
+		{ "the more urgent one first",
+		  { { 1, 0 }, { 0, 9 } },
+		  { 0, 0, 1, 1 },
+		  { 2, 3, 0, 1 } },
+		{ "a team without items",
+		  { { 1, 0 }, { 1, 0 }, { 1, 3 } },
+		  { 2, 2, 1 },
+		  { 2, 0, 1 } },
+	};
+
+	for (const auto &c : cases) {
+		std::vector<struct turn_team> teams = c.teams;
+		std::vector<uint32_t> order(c.team_of.size());
+
+		team_turns_order(teams.data(), (uint32_t)teams.size(),
+				 c.team_of.data(), (uint32_t)c.team_of.size(),
+				 order.data());
+		EXPECT_EQ(c.order, order) << c.name;
+	}
+}
+
+namespace
+{
+
+// Two teams at one engine of 16 slots, 10 ms a token: 400 items of 100 tokens
+// from the start on, and 16 items of 40 tokens that come after 2 s.
+struct SharedEngine {
+	static const uint32_t slots = 16;
+	const uint32_t items[2] = { 400, 16 };
+	const int64_t item_ms[2] = { 1000, 400 };
+	const int64_t from_ms[2] = { 0, 2000 };
+
+	// When the last item of each team ends; by length alone or in turns.
+	std::vector<int64_t> play(bool in_turns)
+	{
+		std::vector<std::pair<int64_t, uint32_t>> running;
+		uint32_t left[2] = { items[0], items[1] };
+		std::vector<int64_t> ended(2);
+
+		for (int64_t now = 0; left[0] || left[1] || !running.empty();
+		     now += 100) {
+			for (size_t i = running.size(); i-- > 0;)
+				if (running[i].first <= now) {
+					ended[running[i].second] = now;
+					running.erase(running.begin() +
+						      (long)i);
+				}
+			for (uint32_t team :
+			     next(left, running, now, in_turns)) {
+				if (running.size() == slots)
+					break;
+				running.push_back(
+					{ now + item_ms[team], team });
+				left[team]--;
+			}
+		}
+		return ended;
+	}
+
+      private:
+	std::vector<uint32_t>
+	next(const uint32_t *left,
+	     const std::vector<std::pair<int64_t, uint32_t>> &running,
+	     int64_t now, bool in_turns)
+	{
+		struct turn_team teams[2] = { { 1, 0 }, { 1, 0 } };
+		std::vector<uint32_t> waiting, order, by_turns;
+
+		for (uint32_t team = 0; team < 2; team++)
+			if (now >= from_ms[team])
+				waiting.insert(waiting.end(), left[team], team);
+		if (!in_turns)
+			return waiting; /* the longest first */
+		for (const auto &run : running)
+			teams[run.second].running++;
+		order.resize(waiting.size());
+		team_turns_order(teams, 2, waiting.data(),
+				 (uint32_t)waiting.size(), order.data());
+		for (uint32_t i : order)
+			by_turns.push_back(waiting[i]);
+		return by_turns;
+	}
+};
+
+} // namespace
+
+TEST(TeamTurns, ASmallBatchDoesNotWaitForALargeOne)
+{
+	SharedEngine engine;
+	std::vector<int64_t> before = engine.play(false);
+	std::vector<int64_t> after = engine.play(true);
+
+	printf("[ figures  ] by length: %lld and %lld ms; in turns: %lld and "
+	       "%lld ms\n",
+	       (long long)before[0], (long long)before[1], (long long)after[0],
+	       (long long)after[1]);
+	EXPECT_GT(before[1], 20000);
+	/* Half of the slots: twice the 400 ms, and an item until one is free.
+	 */
+	EXPECT_LE(after[1] - 2000, 2 * 400 + 1000);
+	/* The large one loses what the small one asks, and one item's rest. */
+	EXPECT_LE(after[0] - before[0], 400 + 1000);
+}
+
 TEST(ItemOrder, PutsWhatEndsTheStepFirst)
 {
 	const OrderCase cases[] = {
