duty, store: say what can't be read, and don't ask on and on

The board of weights and the lease dropped entries that they could not read without a word: each now has a line and a counter, also for keys that nobody of this system writes. A read that was told that history is gone, though no older record is kept, was sent again at once for as long as the answer stood; it counts as a failed one and waits.

Tests: Duties.GoOnWhateverElseIsWritten, Following.DoesNotAskOnAndOn..., PlatformBatch.AHintThatCannotBeReadIsNone.

--- a/duty/duty_lease.c
+++ b/duty/duty_lease.c
@@ -100,28 +100,41 @@
 	set_holder(lease, 0, "claimed_by_another");
 }
 
+static void report_malformed(struct duty_lease *lease, const char *key,
+			     uint64_t offset)
+{
+	struct record record;
+
+	counter_add(lease->malformed, 1);
+	record_begin(&record, lease->log, "duty", "malformed");
+	record_text(&record, "key", key);
+	record_int(&record, "offset", (int64_t)offset);
+	record_end(&record);
+}
+
 static void on_put(struct keyed_follower *follower, const char *key,
 		   const void *value, size_t len, uint64_t offset)
 {
 	struct duty_lease *lease = lease_of(follower);
-	Currant__Topic__DutyClaim *claim;
-
-	(void)offset;
-	if (strcmp(key, DUTY_KEY))
-		return;
-	claim = currant__topic__duty_claim__unpack(NULL, len, value);
-	if (!claim)
+	Currant__Topic__DutyClaim *claim =
+		currant__topic__duty_claim__unpack(NULL, len, value);
+
+	if (!claim || strcmp(key, DUTY_KEY) ||
+	    strlen(claim->holder) >= sizeof(lease->holder)) {
+		report_malformed(lease, key, offset);
+		if (claim)
+			currant__topic__duty_claim__free_unpacked(claim, NULL);
 		return;
+	}
 	take_claim(lease, claim);
 	currant__topic__duty_claim__free_unpacked(claim, NULL);
 }
 
+/* A claim is only ever replaced; the last one read stays in force. */
 static void on_drop(struct keyed_follower *follower, const char *key,
 		    uint64_t offset)
 {
-	(void)follower;
-	(void)key;
-	(void)offset;
+	report_malformed(lease_of(follower), key, offset);
 }
 
 static const struct keyed_follower_vtable follower_vtable = {
@@ -249,6 +262,8 @@
 	lease->append.arg = lease;
 	lease->claims = counter_get(counters, "duty_claims_total");
 	lease->conflicts = counter_get(counters, "duty_claim_conflicts_total");
+	lease->malformed =
+		counter_get(counters, "duty_entries_malformed_total");
 }
 
 void duty_lease_finish(struct duty_lease *lease)
--- a/duty/duty_lease.h
+++ b/duty/duty_lease.h
@@ -53,6 +53,7 @@
 	int is_holder;
 	struct counter *claims;
 	struct counter *conflicts;
+	struct counter *malformed; /* entries of the topic */
 };
 
 void duty_lease_init(struct duty_lease *lease, struct topic_log *log,
--- a/duty/weight_board.c
+++ b/duty/weight_board.c
@@ -20,65 +20,88 @@
 	return (struct weight_board *)follower;
 }
 
-static void take_need(struct weight_board *board, const void *value, size_t len)
+/* Returns -1 if the message is none. */
+static int take_need(struct weight_board *board, const void *value, size_t len)
 {
 	Currant__Topic__WeightNeed *message =
 		currant__topic__weight_need__unpack(NULL, len, value);
 	struct weight_need need;
+	int fits;
 
 	if (!message)
-		return;
+		return -1;
 	memset(&need, 0, sizeof(need));
 	need.min_version = message->min_version;
 	need.named_version = message->named_version;
 	need.tokens = message->tokens;
 	need.items = message->items;
 	need.single_version = message->single_version;
-	if (!copy_text(need.model, sizeof(need.model), message->model) &&
-	    !copy_text(need.service, sizeof(need.service), message->service))
-		for (struct weight_board_listener *l = board->listeners; l;
-		     l = l->next)
-			if (l->need)
-				l->need(l, &need);
+	fits = !copy_text(need.model, sizeof(need.model), message->model) &&
+	       !copy_text(need.service, sizeof(need.service), message->service);
 	currant__topic__weight_need__free_unpacked(message, NULL);
+	if (!fits)
+		return -1;
+	for (struct weight_board_listener *l = board->listeners; l; l = l->next)
+		if (l->need)
+			l->need(l, &need);
+	return 0;
 }
 
-static void take_load(struct weight_board *board, const void *value, size_t len)
+/* Returns -1 if the message is none. */
+static int take_load(struct weight_board *board, const void *value, size_t len)
 {
 	Currant__Topic__WeightLoad *message =
 		currant__topic__weight_load__unpack(NULL, len, value);
 	struct weight_load load;
+	int fits;
 
 	if (!message)
-		return;
+		return -1;
 	memset(&load, 0, sizeof(load));
 	load.version = message->version;
 	load.loaded = message->loaded;
-	if (!copy_text(load.engine, sizeof(load.engine), message->engine) &&
-	    !copy_text(load.model, sizeof(load.model), message->model))
-		for (struct weight_board_listener *l = board->listeners; l;
-		     l = l->next)
-			if (l->load)
-				l->load(l, &load);
+	fits = !copy_text(load.engine, sizeof(load.engine), message->engine) &&
+	       !copy_text(load.model, sizeof(load.model), message->model);
 	currant__topic__weight_load__free_unpacked(message, NULL);
+	if (!fits)
+		return -1;
+	for (struct weight_board_listener *l = board->listeners; l; l = l->next)
+		if (l->load)
+			l->load(l, &load);
+	return 0;
+}
+
+static void report_malformed(struct weight_board *board, const char *key,
+			     uint64_t offset)
+{
+	struct record record;
+
+	counter_add(board->malformed, 1);
+	record_begin(&record, board->log, "weights", "malformed");
+	record_text(&record, "key", key);
+	record_int(&record, "offset", (int64_t)offset);
+	record_end(&record);
 }
 
 static void on_put(struct keyed_follower *follower, const char *key,
 		   const void *value, size_t len, uint64_t offset)
 {
-	(void)offset;
+	struct weight_board *board = board_of(follower);
+	int result = -1;
+
 	if (!strncmp(key, NEED_KEY, strlen(NEED_KEY)))
-		take_need(board_of(follower), value, len);
+		result = take_need(board, value, len);
 	else if (!strncmp(key, LOAD_KEY, strlen(LOAD_KEY)))
-		take_load(board_of(follower), value, len);
+		result = take_load(board, value, len);
+	if (result)
+		report_malformed(board, key, offset);
 }
 
+/* Hosts only ever replace what they said. */
 static void on_drop(struct keyed_follower *follower, const char *key,
 		    uint64_t offset)
 {
-	(void)follower;
-	(void)key;
-	(void)offset;
+	report_malformed(board_of(follower), key, offset);
 }
 
 static const struct keyed_follower_vtable follower_vtable = {
@@ -88,7 +111,7 @@
 
 void weight_board_init(struct weight_board *board, struct topic_log *log,
 		       struct timer_service *timers, const char *writer_name,
-		       struct counter_set *counters)
+		       struct record_log *records, struct counter_set *counters)
 {
 	struct keyed_follower_settings settings = {
 		.topic = WEIGHT_TOPIC,
@@ -98,6 +121,9 @@
 	};
 
 	memset(board, 0, sizeof(*board));
+	board->log = records;
+	board->malformed =
+		counter_get(counters, "weight_entries_malformed_total");
 	keyed_follower_init(&board->follower, &follower_vtable, log, timers,
 			    &settings, counters);
 	topic_writer_init(&board->writer, log, timers, WEIGHT_TOPIC, 0,
--- a/duty/weight_board.h
+++ b/duty/weight_board.h
@@ -1,6 +1,7 @@
 #ifndef DUTY_WEIGHT_BOARD_H
 #define DUTY_WEIGHT_BOARD_H
 
+#include "base/record_log.h"
 #include "store/keyed_follower.h"
 #include "store/topic_writer.h"
 
@@ -41,10 +42,13 @@
 	struct keyed_follower follower;
 	struct topic_writer writer;
 	struct weight_board_listener *listeners;
+	struct record_log *log;
+	struct counter *malformed;
 };
 
 void weight_board_init(struct weight_board *board, struct topic_log *log,
 		       struct timer_service *timers, const char *writer_name,
+		       struct record_log *records,
 		       struct counter_set *counters);
 void weight_board_finish(struct weight_board *board);
 void weight_board_start(struct weight_board *board);
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -221,7 +221,7 @@
 			&daemon->counters);
 	writer_name(daemon, "board", writer);
 	weight_board_init(&daemon->weight_board, store, timers, writer,
-			  &daemon->counters);
+			  &daemon->log, &daemon->counters);
 	daemon->load_listener.load = on_load;
 	weight_board_add_listener(&daemon->weight_board,
 				  &daemon->load_listener);
--- a/store/topic_follower.c
+++ b/store/topic_follower.c
@@ -110,12 +110,17 @@
 	return follower->next >= end;
 }
 
-/* What was dropped is lost; goes on with the oldest record that is kept. */
-static void skip_forgotten(struct topic_follower *follower,
-			   const struct topic_read *read)
+/*
+ * What was dropped is lost; goes on with the oldest record that is kept.
+ * Returns 0 if that is no step on: the answer contradicts itself.
+ */
+static int skip_forgotten(struct topic_follower *follower,
+			  const struct topic_read *read)
 {
-	if (read->first > follower->next)
-		follower->next = read->first;
+	if (read->first <= follower->next)
+		return 0;
+	follower->next = read->first;
+	return 1;
 }
 
 static void start_catch_up(struct topic_follower *follower)
@@ -162,9 +167,8 @@
 			follower->catch_up_failures = 0;
 		else
 			follower->catch_up_failures++;
-	} else if (read->outcome == TOPIC_FORGOTTEN) {
-		skip_forgotten(follower, read);
-	} else {
+	} else if (read->outcome != TOPIC_FORGOTTEN ||
+		   !skip_forgotten(follower, read)) {
 		counter_add(follower->failed_reads, 1);
 		follower->catch_up_failures++;
 	}
@@ -230,9 +234,8 @@
 	if (read->outcome == TOPIC_OK) {
 		follower->watch_failures = 0;
 		take_answer(follower, read);
-	} else if (read->outcome == TOPIC_FORGOTTEN) {
-		skip_forgotten(follower, read);
-	} else {
+	} else if (read->outcome != TOPIC_FORGOTTEN ||
+		   !skip_forgotten(follower, read)) {
 		counter_add(follower->failed_reads, 1);
 		timer_subscribe_once(follower->timers, &follower->retry,
 				     backoff_ns(RETRY_FIRST_NS, RETRY_MAX_NS,
--- a/t/lib-duty-host.cc
+++ b/t/lib-duty-host.cc
@@ -287,7 +287,7 @@
 			name.c_str(), (writer + "u").c_str(), 5, 10,
 			platform->wants_usage, nullptr, &counters_);
 	weight_board_init(&board, topics->log(), timers, (writer + "b").c_str(),
-			  &counters_);
+			  nullptr, &counters_);
 	version_duty_init(&versions, timers, &lease, &board, port, &fleet,
 			  &config_, &named_, name.c_str(), nullptr, &counters_);
 	server_duty_init(&servers, timers, &lease, &board, port, &fleet,
--- a/t/lib-fake-topics.cc
+++ b/t/lib-fake-topics.cc
@@ -240,7 +240,7 @@
 void FakeTopics::finish(Call *call)
 {
 	if (call->fault == Fault::NONE && call->read && !call->waits &&
-	    !has_news(call->read) && call->read->wait_ns) {
+	    !denies_history && !has_news(call->read) && call->read->wait_ns) {
 		call->waits = true;
 		timer_subscribe_once(timers_, &call->timer, call->read->wait_ns,
 				     on_timer, call);
@@ -362,7 +362,7 @@
 
 	read->first = part.first;
 	read->end = end;
-	if (read->from < part.first) {
+	if (read->from < part.first || denies_history) {
 		read->outcome = TOPIC_FORGOTTEN;
 		return;
 	}
--- a/t/lib-fake-topics.h
+++ b/t/lib-fake-topics.h
@@ -65,6 +65,8 @@
 	// The same for appends of one writer.
 	std::function<Fault(const std::string &writer)> writer_faults;
 	int64_t delay_ms = 4;
+	// Reads are told that history is gone which is there.
+	bool denies_history = false;
 	// Reads show the partition as it was this many records ago.
 	uint64_t stale_records = 0;
 
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -367,6 +367,31 @@
 	EXPECT_GT(topics_.partition("keyed.weights", 0).records.size(), 5u);
 }
 
+// Another writer puts rubbish into the topics; it is counted and told.
+TEST_F(Duties, GoOnWhateverElseIsWritten)
+{
+	DutyHost *host = add("a");
+	const std::string broken = "\xff\xff\xff";
+
+	topics_.put("keyed.duty", "duties", broken);
+	topics_.put("keyed.duty", "something", broken);
+	ASSERT_GE(wait_holder(), 0);
+	topics_.put("keyed.weights", "need/m", broken);
+	topics_.put("keyed.weights", "load/e0", broken);
+	topics_.put("keyed.weights", "something", broken);
+	topics_.put("keyed.weights", "need/n", "");
+	time_.run(500);
+	EXPECT_EQ(4u, counter_value(host->board.malformed));
+	EXPECT_EQ(2u, counter_value(host->lease.malformed));
+	platform_.engines["e0"].versions = { { "m", 1 }, { "n", 1 } };
+	host->add_engine("e0", 1);
+	host->name_version("m", 2);
+	host->say_need("m", 2);
+	time_.run(4000);
+	EXPECT_EQ(2u, platform_.engines["e0"].versions["m"]);
+	EXPECT_TRUE(host->holds());
+}
+
 // The only engine that stays is the last of very many.
 TEST_F(Duties, LoadOnWhicheverOfManyEngines)
 {
--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -651,6 +651,44 @@
 	batch_draft_finish(&draft);
 }
 
+// An estimate alone: an item runs without one.
+TEST(PlatformBatch, AHintThatCannotBeReadIsNone)
+{
+	for (const char *hint : { "-5", "many", "7 7", "" }) {
+		std::string text = batch_text;
+		struct error err = ERROR_INIT;
+		struct batch_draft draft;
+
+		text.replace(text.find("\"77\""), 4,
+			     std::string("\"") + hint + "\"");
+		ASSERT_EQ(0, platform_batch_decode(text.c_str(), text.size(),
+						   &draft, &err))
+			<< err.text;
+		EXPECT_EQ(0u, draft.items[0].length_hint) << hint;
+		batch_draft_finish(&draft);
+	}
+}
+
+TEST(PlatformMessages, NumbersAreReadWholeOrNotAtAll)
+{
+	const struct {
+		const char *text;
+		int64_t value;
+	} cases[] = {
+		{ "0", 0 },	  { "77", 77 },
+		{ "077", 77 },	  { "1000", 1000 },
+		{ "1001", 1000 }, { "99999999999999999999999", 1000 },
+		{ "", -1 },	  { "-1", -1 },
+		{ "+1", -1 },	  { " 1", -1 },
+		{ "1 ", -1 },	  { "1.5", -1 },
+		{ "0x10", -1 },	  { "many", -1 },
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(c.value, platform_read_number(c.text, 1000))
+			<< c.text;
+}
+
 TEST(PlatformBatch, IsRefusedIfAnItemIsMalformed)
 {
 	const BatchCase cases[] = {
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -451,6 +451,36 @@
 	EXPECT_EQ(numbers(0, 15), follower_.applied);
 }
 
+// An answer that contradicts itself is a failure, and asked again in time.
+TEST_F(Following, DoesNotAskOnAndOnWhereHistoryIsDenied)
+{
+	Refresh denied, read;
+	int before;
+
+	add(0, 10);
+	topics_.denies_history = true;
+	before = topics_.reads;
+	init_refresh(&denied);
+	topic_follower_refresh(&follower_.base, &denied.base);
+	time_.run(1000);
+	EXPECT_EQ(1, denied.done);
+	EXPECT_FALSE(denied.ok);
+	EXPECT_LE(topics_.reads - before, 4);
+	before = topics_.reads;
+	topic_follower_want(&follower_.base);
+	time_.run(2000);
+	/* Again after 50 to 200 ms. */
+	EXPECT_LE(topics_.reads - before, 2000 / 50);
+	EXPECT_TRUE(follower_.applied.empty());
+	topics_.denies_history = false;
+	init_refresh(&read);
+	topic_follower_refresh(&follower_.base, &read.base);
+	time_.run(1000);
+	EXPECT_TRUE(read.ok);
+	EXPECT_EQ(numbers(0, 10), follower_.applied);
+	topic_follower_unwant(&follower_.base);
+}
+
 TEST_F(Following, OwnRecordsAreAppliedAtOnceIfNothingIsMissing)
 {
 	struct strbuf records;
