batch: take a whole text from an engine that starts over

Cause: on a deployment made from a users' site file, whose engines don't go on behind Last-Event-Id, an item that was moved at event 105 got events from 1 on again.

A first event with the number 1 or 0 where a later one was asked for drops what was there, with a line; the text is that run's alone. Engines that were seen to start over are no target of moves that only save time.

Test: Batches.TakeWholeTextsFromEnginesThatStartOver, which fails without it.

--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -22,11 +22,6 @@
 #define CUTS_IN_VAIN 3
 #define CUT_PAUSE_MAX_NS (5 * NS_PER_S)
 
-const char *runner_item_id(const struct run_item *item)
-{
-	return item->owner->batch->items[item->number].id;
-}
-
 const char *runner_model(const struct run_item *item)
 {
 	const char *model = item->spec->model;
@@ -189,7 +184,7 @@
 
 	record_begin(&record, runner->log, "items", "run_ended");
 	record_text(&record, "batch", run->item->owner->batch->id);
-	record_text(&record, "item", runner_item_id(run->item));
+	record_text(&record, "item", run_item_id(run->item));
 	record_text(&record, "server", run->engine->server->entry.id);
 	record_text(&record, "outcome", outcome);
 	record_int(&record, "status", run->answer.status);
@@ -325,6 +320,7 @@
 
 	memset(runner, 0, sizeof(*runner));
 	runner->run_owner.ended = on_run_ended;
+	runner->run_owner.log = log;
 	runner->reactor = reactor;
 	runner->pool = pool;
 	runner->fleet = fleet;
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -3,8 +3,6 @@
 
 #include "batch/batch_runner.h"
 
-const char *runner_item_id(const struct run_item *item);
-
 /* Model of an item; that of its batch if it names none. */
 const char *runner_model(const struct run_item *item);
 
--- a/batch/engine_state.h
+++ b/batch/engine_state.h
@@ -24,6 +24,7 @@
 	double memory_tokens; /* that these may take */
 	struct engine_pace pace;
 	int64_t suspect_until_ns; /* it fell silent */
+	int starts_over; /* it did not go on with a text of another engine */
 	uint64_t prefix; /* last shared part of the prompt it read */
 	struct engine_state *next;
 };
--- a/batch/item_run.c
+++ b/batch/item_run.c
@@ -108,6 +108,33 @@
 	run->event_ns = now_ns;
 }
 
+/*
+ * Whether the engine makes the whole text anew though it was told where to go
+ * on. What it makes need not fit to what came before.
+ */
+static int starts_over(const struct item_run *run,
+		       const struct server_event *event)
+{
+	return !run->event_count && event->id <= 1 &&
+	       run->item->made.last_event >= event->id;
+}
+
+static void drop_text(struct item_run *run)
+{
+	struct item_text *made = &run->item->made;
+	struct record record;
+
+	record_begin(&record, run->owner->log, "items", "text_dropped");
+	record_text(&record, "batch", run->item->owner->batch->id);
+	record_text(&record, "item", run_item_id(run->item));
+	record_text(&record, "server", run->engine->server->entry.id);
+	record_int(&record, "events", made->last_event);
+	record_text(&record, "reason", "started_over");
+	record_end(&record);
+	item_text_reset(made);
+	run->engine->starts_over = 1;
+}
+
 /* Returns -1 where the stream cannot be this item's. */
 static int take_event(struct item_run *run, const struct server_event *event)
 {
@@ -115,6 +142,8 @@
 
 	if (event->id < 0)
 		return 0; /* a comment */
+	if (starts_over(run, event))
+		drop_text(run);
 	if (event->id <= made->last_event)
 		return 0;
 	/* Events are numbered without a gap; the first one is 1 or 0. */
--- a/batch/item_run.h
+++ b/batch/item_run.h
@@ -27,6 +27,7 @@
 
 struct item_run_owner {
 	struct item_run *runs; /* that are running */
+	struct record_log *log;
 	/* The run is over; it is freed afterwards. */
 	void (*ended)(struct item_run_owner *owner, struct item_run *run,
 		      enum item_run_end end);
--- a/batch/run_item.c
+++ b/batch/run_item.c
@@ -65,3 +65,8 @@
 			return 0;
 	return 1;
 }
+
+const char *run_item_id(const struct run_item *item)
+{
+	return item->owner->batch->items[item->number].id;
+}
--- a/batch/run_item.h
+++ b/batch/run_item.h
@@ -67,6 +67,9 @@
 	struct run_batch *next;
 };
 
+/* As its caller named it. */
+const char *run_item_id(const struct run_item *item);
+
 void item_text_init(struct item_text *made);
 void item_text_finish(struct item_text *made);
 void item_text_reset(struct item_text *made);
--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -52,7 +52,7 @@
 	struct item_text made;
 
 	item_text_init(&made);
-	if (carried_texts_take(&runner->carried, runner_item_id(item), &made)) {
+	if (carried_texts_take(&runner->carried, run_item_id(item), &made)) {
 		item->owner->groups[item->group].is_required = 1;
 		if (item_text_fits(&made, batch->min_version,
 				   batch->single_version)) {
--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -16,7 +16,7 @@
 				const struct run_item *item)
 {
 	const struct entry_route *route = runner_route(runner, item);
-	uint64_t hash = hash_text(runner_item_id(item), 0);
+	uint64_t hash = hash_text(run_item_id(item), 0);
 
 	if (!route)
 		return NULL;
--- a/batch/runner_move.c
+++ b/batch/runner_move.c
@@ -54,7 +54,7 @@
 	runner_item_need(run->item, list->service, &need);
 	other = runner_choose_engine(runner, run->item, list, &need,
 				     run->engine, &view);
-	if (!other)
+	if (!other || other->starts_over)
 		return;
 	move.tokens_left = need.tokens_left;
 	move.there_ns =
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -72,7 +72,7 @@
 
 	record_begin(&record, runner->log, "items", "run_started");
 	record_text(&record, "batch", item->owner->batch->id);
-	record_text(&record, "item", runner_item_id(item));
+	record_text(&record, "item", run_item_id(item));
 	record_text(&record, "server", engine->server->entry.id);
 	record_int(&record, "run", item->runs);
 	record_int(&record, "after_event", item->made.last_event);
@@ -130,7 +130,7 @@
 
 	record_begin(&record, runner->log, "items", "text_dropped");
 	record_text(&record, "batch", item->owner->batch->id);
-	record_text(&record, "item", runner_item_id(item));
+	record_text(&record, "item", run_item_id(item));
 	record_int(&record, "events", item->made.last_event);
 	record_int(&record, "version", (int64_t)item->made.versions[0]);
 	record_text(&record, "reason", "version_gone");
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -157,7 +157,7 @@
 	out->runner = runner;
 	out->partition = item->owner->owned->partition;
 	out->batch = xstrdup(item->owner->batch->id);
-	out->item_id = xstrdup(runner_item_id(item));
+	out->item_id = xstrdup(run_item_id(item));
 	out->made_ns = runner_now_ns(runner);
 	out->item = item->number;
 	out->last_event = item->made.last_event;
@@ -178,7 +178,7 @@
 
 	record_begin(&record, runner->log, "items", event);
 	record_text(&record, "batch", item->owner->batch->id);
-	record_text(&record, "item", runner_item_id(item));
+	record_text(&record, "item", run_item_id(item));
 	record_int(&record, "events", item->made.last_event);
 	record_int(&record, "versions", item->made.version_count);
 	record_int(&record, "version",
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -126,7 +126,7 @@
 	run->saw.body.assign(request->body.buf, request->body.len);
 	seen.push_back(run->saw);
 	run->reply = behaviour(run->saw);
-	if (!run->saw.last_event.empty())
+	if (!run->saw.last_event.empty() && !run->reply.starts_over)
 		run->event = atoi(run->saw.last_event.c_str()) + 1;
 	request->owner = &run->owner;
 	runs_.push_back(run);
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -35,6 +35,7 @@
 
 	// A stream of events, numbered from 1.
 	bool stream = false;
+	bool starts_over = false; // whatever event it is to go on behind
 	int events = 3;
 	int event_bytes = 0; // further ones of each event's data
 	int interval_ms = 1;
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -487,6 +487,33 @@
 	EXPECT_LT(large_runs, 20u) << "half of the large one has not begun";
 }
 
+// An engine that can't go on with another one's text makes a whole one.
+TEST_F(Batches, TakeWholeTextsFromEnginesThatStartOver)
+{
+	BatchHost *host = add_host("a");
+	Submission submission;
+	ReadAnswer answer;
+	ServerReply cut = stream(30, 10), anew = stream(30, 10, 2);
+
+	cut.silent_after = 20;
+	anew.starts_over = true;
+	submission.groups = submission.group_size = 1;
+	add_engine("cut", cut, 1);
+	ASSERT_EQ(202, host->submit(submission));
+	ASSERT_TRUE(loop_.run_until([&] {
+		const struct item_run *run = host->runner.run_owner.runs;
+
+		return run && run->item->made.last_event >= 10;
+	}));
+	add_engine("anew", anew, 2);
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 30);
+	EXPECT_EQ(std::vector<uint64_t>{ 2 }, answer.results[0].versions)
+		<< "nothing of the first text is left";
+	EXPECT_EQ(1u, engines_[1]->seen.size());
+	EXPECT_NE("", engines_[1]->seen[0].last_event);
+}
+
 // Items that come again with another batch, as far as weights allow.
 TEST_F(Batches, ReuseTextsOfGroupsThatComeAgain)
 {
