store: read what is missing before an own record

Cause: a host that claims a partition learns of its claim by the log. Where another host's record had come in between its last read and the claim, the claim could not be applied, and nobody read the partition: the host that is the first by rank reads one without an owner, but the claim came from the host that had accepted the batch. On the users' sites two models share one of twelve partitions now and then.

An own record that can't be applied now starts a read, unless a watch or a read runs that brings it; the end is known to lie behind the record.

Tests: Host/BatchesOfTwoHosts.RunAtOnceThough..., which fails before, and Following.OwnRecordsAre..., which asked before that the record waits until somebody wants the partition: it now asks that it does not, also while a read runs that began earlier.

--- a/store/topic_follower.c
+++ b/store/topic_follower.c
@@ -259,8 +259,32 @@
 		stop_watch(follower);
 }
 
+static uint64_t count_records(const struct strbuf *records)
+{
+	const uint8_t *data;
+	uint64_t count = 0;
+	size_t len;
+	size_t at = 0;
+
+	while (topic_next_record(records, &at, &data, &len))
+		count++;
+	return count;
+}
+
 void topic_follower_note_own(struct topic_follower *follower, uint64_t offset,
 			     const struct strbuf *records)
 {
+	uint64_t end = offset + count_records(records);
+
 	apply_from(follower, offset, records);
+	if (follower->next >= end)
+		return;
+	if (follower->known_end < end)
+		follower->known_end = end;
+	/*
+	 * Others wrote in between. A watch would bring it, and a read that
+	 * runs goes on up to the known end.
+	 */
+	if (!follower->watching && !follower->catching_up)
+		start_catch_up(follower);
 }
--- a/store/topic_follower.h
+++ b/store/topic_follower.h
@@ -73,7 +73,7 @@
 
 /*
  * This process has appended `records` at `offset`: applies them at once if
- * all before them was applied.
+ * all before them was applied, else reads what is missing.
  */
 void topic_follower_note_own(struct topic_follower *follower, uint64_t offset,
 			     const struct strbuf *records);
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -161,6 +161,45 @@
 	expect_whole(submission, answer, 4);
 }
 
+// Another host's record comes between a batch and the claim that follows it,
+// at the host that is to run the partition by its rank, or at the other one.
+class BatchesOfTwoHosts : public Batches,
+			  public ::testing::WithParamInterface<int>
+{
+};
+
+INSTANTIATE_TEST_SUITE_P(Host, BatchesOfTwoHosts, ::testing::Values(0, 1));
+
+TEST_P(BatchesOfTwoHosts, RunAtOnceThoughAnotherOneWritesMeanwhile)
+{
+	Submission submission;
+	ReadAnswer answer;
+	int appends = 0;
+	int64_t began_ns;
+
+	add_host("a");
+	add_host("b");
+	BatchHost *host = hosts_[(size_t)GetParam()].get();
+	add_engine("e", stream());
+	topics_.faults = [&](const std::string &kind,
+			     const std::string &topic) {
+		if (kind == "append" && topic == "batch" && ++appends == 2)
+			for (uint32_t i = 0; i < host->set.count; i++)
+				topics_.append("batch", i, "another's");
+		return Fault::NONE;
+	};
+	ASSERT_EQ(202, host->submit(submission));
+	began_ns = reactor_now_ns(&loop_.reactor);
+	/* A call that reads the batch here would read the partition, too. */
+	ASSERT_TRUE(
+		loop_.run_until([&] { return engines_[0]->seen.size() >= 4; }));
+	EXPECT_GE(appends, 2);
+	/* Partitions without an owner are read once a second. */
+	EXPECT_LT(reactor_now_ns(&loop_.reactor) - began_ns, 500 * NS_PER_MS);
+	ASSERT_TRUE(host->read_all(submission, &answer));
+	expect_whole(submission, answer, 4);
+}
+
 // Answers hold as many results as a megabyte takes, and no more.
 TEST_F(Batches, AreReadInAnswersOfBoundedSize)
 {
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -481,9 +481,10 @@
 	topic_follower_unwant(&follower_.base);
 }
 
-TEST_F(Following, OwnRecordsAreAppliedAtOnceIfNothingIsMissing)
+TEST_F(Following, OwnRecordsAreAppliedAtOnceOrAfterWhatIsMissing)
 {
 	struct strbuf records;
+	Refresh refresh;
 
 	strbuf_init(&records);
 	topic_add_record(&records, "0", 1);
@@ -494,9 +495,20 @@
 	topics_.append("t", 3, "2");
 	topic_follower_note_own(&follower_.base, 2, &records);
 	EXPECT_EQ(numbers(0, 1), follower_.applied);
-	topic_follower_want(&follower_.base);
-	time_.run(100);
+	time_.run(20);
 	EXPECT_EQ(numbers(0, 3), follower_.applied);
+	/* The same while a read runs that began before. */
+	topics_.append("t", 3, "3");
+	init_refresh(&refresh);
+	topic_follower_refresh(&follower_.base, &refresh.base);
+	topics_.append("t", 3, "4");
+	topics_.append("t", 3, "5");
+	strbuf_reset(&records);
+	topic_add_record(&records, "5", 1);
+	topic_follower_note_own(&follower_.base, 5, &records);
+	time_.run(20);
+	EXPECT_EQ(numbers(0, 6), follower_.applied);
+	EXPECT_TRUE(refresh.ok);
 	strbuf_finish(&records);
 }
 
