policy: give each host its own part of a large service

Each host now looks at the same 64 or 128 of those that can be chosen, by a hash of host and server; where one is gone the next one comes in. All hosts together look at each server alike.

--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -329,6 +329,7 @@
 	runner->log = log;
 	runner->data_centre = data_centre;
 	rng_init(&runner->rng, seed);
+	runner->sample_seed = seed;
 	carried_texts_init(&runner->carried);
 	runner->fleet_listener.changed = on_server_changed;
 	runner->fleet_listener.removed = on_server_changed;
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -42,6 +42,7 @@
 	struct topic_log *store;
 	struct record_log *log;
 	const char *data_centre;
+	uint64_t sample_seed; /* which engines this host looks at */
 	struct rng rng;
 	struct owned_partition *owned;
 	struct engine_state *engines;
--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "base/hash.h"
-#include "policy/choice_sample.h"
 #include "policy/item_order.h"
 
 /* Part of an engine's memory that runs are planned into. */
@@ -101,7 +100,8 @@
 		    (are_many && *model &&
 		     !server_entry_version(&s->entry, model)))
 			continue;
-		place = choice_sample_place(&sample, &runner->rng);
+		place = choice_sample_place(
+			&sample, hash_text(s->entry.id, runner->sample_seed));
 		if (place >= 0)
 			list->engines[place] =
 				engine_state_get(s, &runner->engines);
--- a/batch/runner_choice.h
+++ b/batch/runner_choice.h
@@ -2,10 +2,11 @@
 #define BATCH_RUNNER_CHOICE_H
 
 #include "batch/batch_runner_private.h"
+#include "policy/choice_sample.h"
 #include "policy/item_place.h"
 
 /* Engines that one choice looks at. */
-#define CHOICE_ENGINES_MAX 128
+#define CHOICE_ENGINES_MAX CHOICE_SAMPLE_MAX
 
 /*
  * The engines of a service, as one round of choices sees them: all of them,
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -148,7 +148,7 @@
 	struct fleet *fleet = forward->forwarder->fleet;
 	struct fleet_server *servers[CHOICE_MAX];
 	struct plain_server views[CHOICE_MAX];
-	struct rng *rng = &forward->forwarder->rng;
+	uint64_t seed = forward->forwarder->sample_seed;
 	struct choice_sample sample;
 	int32_t chosen;
 
@@ -162,13 +162,14 @@
 		view_server(forward, s, &view);
 		if (!view.usable || view.tried)
 			continue;
-		place = choice_sample_place(&sample, rng);
+		place = choice_sample_place(&sample,
+					    hash_text(s->entry.id, seed));
 		if (place < 0)
 			continue;
 		views[place] = view;
 		servers[place] = s;
 	}
-	chosen = plain_choice(views, sample.count, rng);
+	chosen = plain_choice(views, sample.count, &forward->forwarder->rng);
 	return chosen < 0 ? NULL : servers[chosen];
 }
 
@@ -486,6 +487,7 @@
 	forwarder->log = log;
 	forwarder->data_centre = data_centre;
 	rng_init(&forwarder->rng, seed);
+	forwarder->sample_seed = seed;
 	forwarder->answered =
 		counter_get(counters, "requests_total{outcome=\"answered\"}");
 	forwarder->refused =
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -34,6 +34,7 @@
 	struct run_counter *runs; /* may be NULL */
 	struct crash_watch *crashes; /* may be NULL */
 	const char *data_centre;
+	uint64_t sample_seed; /* which servers this host looks at */
 	struct rng rng;
 	struct forward *first;
 	uint32_t running;
