batch: let teams take turns within a model alone

Cause: turns across all items of a host also interleaved models.

Items of a model change places among themselves now, and models stay in the order that they had; where each model has one team nothing is reordered.

--- a/batch/waiting_item.h
+++ b/batch/waiting_item.h
@@ -13,8 +13,9 @@
 };
 
 /*
- * Brings the items, which stand in the order that their teams want, into the
- * order in which the teams take turns.
+ * Lets the teams that want the same model take turns: its items, which stand
+ * in the order that their teams want, change places among themselves. Between
+ * models the order stays; their shares of the engines decide there.
  */
 void runner_take_turns(const struct batch_runner *runner,
 		       struct waiting_item *waiting, uint32_t count);
--- a/policy/team_turns.h
+++ b/policy/team_turns.h
@@ -4,7 +4,7 @@
 #include <stdint.h>
 
 /*
- * Whose items run next where several teams' batches want the same engines.
+ * Whose items run next where several teams' batches want the same model.
  * Load pattern: one team submits thousands of long items, another one a small
  * batch a moment later; by length alone (policy/item_order.h) the small one
  * would wait for all long items to start, and its trainer would stand still
