t: wait for the engine before the log goes down

Traced to the test: it waits until each daemon serves the service's route, which says nothing of the engine, and then takes the log away at once. Now a short completion has to pass at that daemon first; what is checked afterwards stays.

--- a/t/test-proof-withdrawal-daemons.cc
+++ b/t/test-proof-withdrawal-daemons.cc
@@ -53,7 +53,7 @@
 		return ask(call);
 	}
 
-	Reply complete(size_t daemon)
+	Reply complete(size_t daemon, int tokens = 200)
 	{
 		Ask call;
 
@@ -61,7 +61,8 @@
 		call.address = rig.daemons[daemon]->batch;
 		call.path = "/v1/completions";
 		call.body = "{\"model\": \"rollout\", \"prompt\": \"ice\", "
-			    "\"max_tokens\": 200}";
+			    "\"max_tokens\": " +
+			    std::to_string(tokens) + "}";
 		call.headers = { "Authorization: Bearer " + secret };
 		call.timeout_ms = 60000;
 		return ask(call);
@@ -96,6 +97,9 @@
 	std::chrono::steady_clock::time_point cut_at;
 
 	configure();
+	/* The daemon knows the engine, too, before the log goes. */
+	ASSERT_TRUE(wait_until(RIG_LIMIT_MS,
+			       [&] { return complete(2, 1).status == 200; }));
 	rig.log.faults("{\"down\": true}");
 	std::thread caller([&] {
 		running = complete(2);
