--- a/soak/world.cc
+++ b/soak/world.cc
@@ -182,11 +182,10 @@
 	return loop_.run_until(
 		[this] {
 			for (auto &daemon : daemons_) {
-				std::ifstream in(daemon->output + ".1");
-				std::stringstream text;
+				std::string text =
+					read_file(daemon->output + ".1");
 
-				text << in.rdbuf();
-				if (text.str().find("event=ready") ==
+				if (text.find("event=ready") ==
 				    std::string::npos)
 					return false;
 			}
--- a/t/lib-process.cc
+++ b/t/lib-process.cc
@@ -12,6 +12,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "t/lib-clock.h"
 
@@ -42,6 +43,15 @@
 	return path_ + "/" + name;
 }
 
+std::string read_file(const std::string &path)
+{
+	std::ifstream in(path);
+	std::stringstream all;
+
+	all << in.rdbuf();
+	return all.str();
+}
+
 std::string built_program(const std::string &name)
 {
 	const char *build = getenv("CURRANT_BUILD");
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -22,6 +22,9 @@
 	std::string path_;
 };
 
+// All of a file; "" if it can't be read.
+std::string read_file(const std::string &path);
+
 // Path of a program that the build made, such as "currant-standin".
 std::string built_program(const std::string &name);
 
--- a/t/lib-rig.cc
+++ b/t/lib-rig.cc
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <fstream>
-#include <sstream>
 
 static const char *const operator_token = "operator-token";
 // SHA-256 of "operator-token".
@@ -143,13 +142,11 @@
 				  dir.file(daemon.name + ".log")) ||
 	    daemon.process.wait_for_file(addresses, RIG_LIMIT_MS).empty())
 		return false;
-	std::ifstream in(addresses);
-	std::stringstream all;
-	all << in.rdbuf();
-	daemon.batch = json_text_field(all.str(), "batch");
-	daemon.latency = json_text_field(all.str(), "latency");
-	daemon.operators = json_text_field(all.str(), "operators");
-	daemon.peer = json_text_field(all.str(), "peer");
+	const std::string all = read_file(addresses);
+	daemon.batch = json_text_field(all, "batch");
+	daemon.latency = json_text_field(all, "latency");
+	daemon.operators = json_text_field(all, "operators");
+	daemon.peer = json_text_field(all, "peer");
 	put_entry(index);
 	return true;
 }
@@ -278,11 +275,7 @@
 
 std::string Rig::daemon_log(int index)
 {
-	std::ifstream in(dir.file(daemons[index]->name + ".log"));
-	std::stringstream all;
-
-	all << in.rdbuf();
-	return all.str();
+	return read_file(dir.file(daemons[index]->name + ".log"));
 }
 
 std::string Rig::timelines()
--- a/t/lib-system.cc
+++ b/t/lib-system.cc
@@ -6,7 +6,6 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
-#include <sstream>
 
 static const int start_limit_ms = 20000;
 static const char *const token = "test-operator";
@@ -14,15 +13,6 @@
 static const char *const token_hash =
 	"1a3bde4175d7cfb457a7710efe93909a67389f0b4b64e25ce75d182308f2f738";
 
-static std::string read_file(const std::string &path)
-{
-	std::ifstream in(path);
-	std::stringstream all;
-
-	all << in.rdbuf();
-	return all.str();
-}
-
 static std::string json_field(const std::string &text, const char *field)
 {
 	json_t *json = json_loads(text.c_str(), 0, nullptr);
--- a/t/test-client-daemon.cc
+++ b/t/test-client-daemon.cc
@@ -5,7 +5,6 @@
 #include <jansson.h>
 
 #include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -24,15 +23,6 @@
 	std::string output;
 };
 
-static std::string read_file(const std::string &path)
-{
-	std::ifstream in(path);
-	std::stringstream all;
-
-	all << in.rdbuf();
-	return all.str();
-}
-
 class ClientDaemon : public ::testing::Test
 {
       protected:
--- a/t/test-client.cc
+++ b/t/test-client.cc
@@ -2,7 +2,6 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -16,15 +15,6 @@
 
 static const int limit_ms = 20000;
 
-static std::string read_file(const std::string &path)
-{
-	std::ifstream in(path);
-	std::stringstream all;
-
-	all << in.rdbuf();
-	return all.str();
-}
-
 static void write_file(const std::string &path, const std::string &text)
 {
 	std::ofstream(path) << text;
--- a/t/test-command-line.cc
+++ b/t/test-command-line.cc
@@ -9,7 +9,6 @@
 #include <unistd.h>
 
 #include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -27,13 +26,11 @@
 {
 	TempDir dir;
 	Process process;
-	std::stringstream out;
 
 	arguments.insert(arguments.begin(), built_program("currantd"));
 	EXPECT_TRUE(process.start(arguments, dir.file("out")));
 	int status = process.wait(limit_ms);
-	out << std::ifstream(dir.file("out")).rdbuf();
-	return { status, out.str() };
+	return { status, read_file(dir.file("out")) };
 }
 
 TEST(DaemonCommandLine, StatusAndReason)
--- a/t/test-entry-program.cc
+++ b/t/test-entry-program.cc
@@ -58,10 +58,7 @@
 
 	std::string output() const
 	{
-		std::stringstream out;
-
-		out << std::ifstream(dir.file("out")).rdbuf();
-		return out.str();
+		return read_file(dir.file("out"));
 	}
 
 	bool answers(const std::string &address)
@@ -118,7 +115,7 @@
 	Program program(settings(",\"control\":\"" + ip + ":8407\""));
 	TempDir dir;
 	Process client;
-	std::stringstream shown;
+	std::string shown;
 
 	ASSERT_TRUE(program.process.wait_until(
 		limit_ms, [&] { return program.answers(ip + ":8407"); }));
@@ -126,12 +123,11 @@
 		{ built_program("currant"), "status", "-d", ip + ":8407" },
 		dir.file("out")));
 	EXPECT_EQ(0, client.wait(limit_ms));
-	shown << std::ifstream(dir.file("out")).rdbuf();
+	shown = read_file(dir.file("out"));
 	for (const char *part : { "e1 config_version=-1", "ready=false",
 				  "store_address=127.0.0.1:1",
 				  "e1 topics name=operators listed=false" })
-		EXPECT_NE(std::string::npos, shown.str().find(part))
-			<< shown.str();
+		EXPECT_NE(std::string::npos, shown.find(part)) << shown;
 	EXPECT_EQ(0, program.process.stop());
 }
 
--- a/t/test-fuzz.cc
+++ b/t/test-fuzz.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cstring>
 #include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -223,13 +222,11 @@
 	std::vector<std::string> all = { built_program("currant") };
 	TempDir dir;
 	Process process;
-	std::stringstream out;
 
 	all.insert(all.end(), arguments.begin(), arguments.end());
 	EXPECT_TRUE(process.start(all, dir.file("out")));
 	*status = process.wait(client_limit_ms);
-	out << std::ifstream(dir.file("out")).rdbuf();
-	return out.str();
+	return read_file(dir.file("out"));
 }
 
 // Seed 15: a file of 2,000 mutated lines is checked to its end.
--- a/t/test-log-reports.cc
+++ b/t/test-log-reports.cc
@@ -122,15 +122,13 @@
 	Outcome run(std::vector<std::string> arguments)
 	{
 		Process process;
-		std::stringstream out;
 
 		arguments.insert(arguments.begin(), built_program("currant"));
 		std::string file = dir_.file("out" + std::to_string(runs_++));
 
 		EXPECT_TRUE(process.start(arguments, file));
 		int status = process.wait(limit_ms);
-		out << std::ifstream(file).rdbuf();
-		return { status, out.str() };
+		return { status, read_file(file) };
 	}
 
 	Outcome explain(const std::string &id)
@@ -211,7 +209,7 @@
 	Outcome outcome =
 		run({ "report", "--json", "--step", "2", "--svg",
 		      dir_.file("plot.svg"), dir_.file("a"), dir_.file("b") });
-	std::stringstream svg;
+	std::string svg;
 	std::vector<std::string> rows;
 	std::string row;
 
@@ -230,7 +228,7 @@
 	EXPECT_NE(std::string::npos, rows[5].find("\"batches\":1"));
 	EXPECT_NE(std::string::npos, rows[6].find("\"items\":1"));
 	EXPECT_NE(std::string::npos, rows[6].find("\"running\":0"));
-	svg << std::ifstream(dir_.file("plot.svg")).rdbuf();
-	EXPECT_EQ(0u, svg.str().find("<svg "));
-	EXPECT_NE(std::string::npos, svg.str().find("</svg>"));
+	svg = read_file(dir_.file("plot.svg"));
+	EXPECT_EQ(0u, svg.find("<svg "));
+	EXPECT_NE(std::string::npos, svg.find("</svg>"));
 }
