store, duty, forward, batch: one piece of code where several stood

Found by reading the whole change once more. Lines and counters that daemons write, and what they answer, stay as they were, but for one time below.

- base/container_of: twenty places spelt out the struct of a member.
- store/topic_follower: the end of own records came from a second walk over them; applying them tells it.
- duty/version_duty: engines were found by a hash table of its own; a server carries its engine, as it does for the scheduler of batches.
- batch/runner_choice: the servers of a service were counted before each list to learn whether there are many.
Engines without the model now rank behind the others, which needs no count and gives the same list where there is room for all.
- The refusal of keys that can't be confirmed stood twice, with 0.05 s on one way and 0.3 s on the other to come back. docs/api.md says 0.3 s; both do.

--- a/app/load_poll.c
+++ b/app/load_poll.c
@@ -7,6 +7,7 @@
 
 #include "app/daemon.h"
 #include "base/alloc.h"
+#include "base/container_of.h"
 
 #define MS_PER_S 1000
 /* A process that is ending may still cut a connection before it refuses. */
@@ -26,8 +27,7 @@
 
 static struct load_probe *from_call(struct backend_call *call)
 {
-	return (struct load_probe *)((char *)call -
-				     offsetof(struct load_probe, call));
+	return container_of(call, struct load_probe, call);
 }
 
 static uint32_t uint_field(const json_t *root, const char *name)
--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 #include "batch/items_load.h"
 #include "batch/results_load.h"
 #include "entry/answers.h"
@@ -246,8 +247,7 @@
 
 static struct batch_call *watcher_of(struct batch_table_listener *listener)
 {
-	return (struct batch_call *)((char *)listener -
-				     offsetof(struct batch_call, news));
+	return container_of(listener, struct batch_call, news);
 }
 
 static void on_hold_over(void *arg, int64_t now_ns)
--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 #include "base/hash.h"
 #include "batch/batch_runner_private.h"
 
@@ -295,9 +296,7 @@
 			      struct fleet_server *server)
 {
 	struct batch_runner *runner =
-		(struct batch_runner *)((char *)listener -
-					offsetof(struct batch_runner,
-						 fleet_listener));
+		container_of(listener, struct batch_runner, fleet_listener);
 
 	(void)server;
 	batch_runner_wake(runner);
--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -75,20 +75,20 @@
 	return engine_pace_typical(paces, count);
 }
 
-static uint32_t count_servers(const struct fleet *fleet, const char *service)
+/* Engines without the model come last. */
+static uint64_t rank_of(const struct batch_runner *runner,
+			const struct server_entry *entry, const char *model)
 {
-	uint32_t count = 0;
+	uint64_t rank = hash_text(entry->id, runner->sample_seed) >> 1;
 
-	for (const struct fleet_server *s = fleet->first; s; s = s->next)
-		count += !strcmp(s->entry.service, service);
-	return count;
+	if (*model && !server_entry_version(entry, model))
+		rank |= UINT64_C(1) << 63;
+	return rank;
 }
 
 void runner_list_engines(struct batch_runner *runner, const char *service,
 			 const char *model, struct engine_list *list)
 {
-	int are_many = count_servers(runner->fleet, service) >
-		       CHOICE_ENGINES_MAX;
 	struct choice_sample sample;
 
 	list->service = entry_config_service(runner->config->current, service);
@@ -96,12 +96,10 @@
 	for (struct fleet_server *s = runner->fleet->first; s; s = s->next) {
 		int32_t place;
 
-		if (strcmp(s->entry.service, service) ||
-		    (are_many && *model &&
-		     !server_entry_version(&s->entry, model)))
+		if (strcmp(s->entry.service, service) != 0)
 			continue;
-		place = choice_sample_place(
-			&sample, hash_text(s->entry.id, runner->sample_seed));
+		place = choice_sample_place(&sample,
+					    rank_of(runner, &s->entry, model));
 		if (place >= 0)
 			list->engines[place] =
 				engine_state_get(s, &runner->engines);
--- a/batch/runner_choice.h
+++ b/batch/runner_choice.h
@@ -10,7 +10,7 @@
 
 /*
  * The engines of a service, as one round of choices sees them: all of them,
- * or a sample of those that have the model.
+ * or this host's part of many, first of those that have the model.
  */
 struct engine_list {
 	const struct entry_service *service; /* NULL: not in the config */
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -7,6 +7,7 @@
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/malformed_entry.h"
 #include "store/topic_message.h"
 
 #define HOST_TOPIC "keyed.hosts"
@@ -96,12 +97,14 @@
 static void report_malformed(struct discovery *discovery, const char *key,
 			     uint64_t offset)
 {
-	struct record record;
+	const struct malformed_entry entry = {
+		.part = "hosts",
+		.name = "name",
+		.key = key,
+		.offset = offset,
+	};
 
-	record_begin(&record, discovery->log, "hosts", "malformed");
-	record_text(&record, "name", key);
-	record_int(&record, "offset", (int64_t)offset);
-	record_end(&record);
+	malformed_entry_report(&entry, discovery->log, NULL);
 }
 
 static void on_put(struct keyed_follower *follower, const char *key,
--- a/duty/duty_lease.c
+++ b/duty/duty_lease.c
@@ -4,6 +4,7 @@
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/malformed_entry.h"
 #include "store/topic_message.h"
 
 #define DUTY_TOPIC "keyed.duty"
@@ -103,13 +104,14 @@
 static void report_malformed(struct duty_lease *lease, const char *key,
 			     uint64_t offset)
 {
-	struct record record;
+	const struct malformed_entry entry = {
+		.part = "duty",
+		.name = "key",
+		.key = key,
+		.offset = offset,
+	};
 
-	counter_add(lease->malformed, 1);
-	record_begin(&record, lease->log, "duty", "malformed");
-	record_text(&record, "key", key);
-	record_int(&record, "offset", (int64_t)offset);
-	record_end(&record);
+	malformed_entry_report(&entry, lease->log, lease->malformed);
 }
 
 static void on_put(struct keyed_follower *follower, const char *key,
--- a/duty/server_duty.c
+++ b/duty/server_duty.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 
 #define TICK_NS (500 * NS_PER_MS)
 #define CALL_TIMEOUT_NS (1500 * NS_PER_MS)
@@ -294,9 +295,7 @@
 		    const struct weight_need *need)
 {
 	struct server_duty *duty =
-		(struct server_duty *)((char *)listener -
-				       offsetof(struct server_duty,
-						board_listener));
+		container_of(listener, struct server_duty, board_listener);
 
 	/* A model too many gets no cheap engines. */
 	(void)need_table_put(&duty->needs, need, now_ns(duty));
@@ -304,9 +303,7 @@
 
 static struct server_duty *lease_duty(struct duty_lease_listener *listener)
 {
-	return (struct server_duty *)((char *)listener -
-				      offsetof(struct server_duty,
-					       lease_listener));
+	return container_of(listener, struct server_duty, lease_listener);
 }
 
 static void on_gained(struct duty_lease_listener *listener, uint64_t fence)
--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 #include "duty/usage_counter.h"
 #include "proto/topic.pb-c.h"
 #include "store/topic_message.h"
@@ -230,9 +231,7 @@
 
 static struct usage_duty *listening(struct duty_lease_listener *listener)
 {
-	return (struct usage_duty *)((char *)listener -
-				     offsetof(struct usage_duty,
-					      lease_listener));
+	return container_of(listener, struct usage_duty, lease_listener);
 }
 
 static void on_gained(struct duty_lease_listener *listener, uint64_t fence)
--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "base/hash.h"
+#include "base/container_of.h"
 #include "policy/version_plan.h"
 
 #define ORDER_TIMEOUT_NS (500 * NS_PER_MS)
@@ -51,7 +51,6 @@
 	struct engine_report report;
 	struct timer timer;
 	struct duty_engine *next;
-	struct duty_engine *next_in_bucket;
 };
 
 static void plan_soon(struct version_duty *duty);
@@ -95,45 +94,23 @@
 	engine->phase = PHASE_IDLE;
 }
 
-static struct duty_engine **bucket_of(struct version_duty *duty,
-				      const struct fleet_server *server)
-{
-	uint64_t hash = hash_text(server->entry.id, 0);
-
-	return &duty->buckets[hash % VERSION_DUTY_BUCKETS];
-}
-
 static void free_engine(struct duty_engine *engine)
 {
 	struct duty_engine **at = &engine->duty->engines;
-	struct duty_engine **in = bucket_of(engine->duty, engine->server);
 
 	cancel_calls(engine);
 	while (*at != engine)
 		at = &(*at)->next;
 	*at = engine->next;
-	while (*in != engine)
-		in = &(*in)->next_in_bucket;
-	*in = engine->next_in_bucket;
+	engine->server->duty_engine = NULL;
 	fleet_server_release(engine->server);
 	free(engine);
 }
 
-static struct duty_engine *find_engine(struct version_duty *duty,
-				       const struct fleet_server *server)
-{
-	struct duty_engine *engine = *bucket_of(duty, server);
-
-	while (engine && engine->server != server)
-		engine = engine->next_in_bucket;
-	return engine;
-}
-
 static struct duty_engine *get_engine(struct version_duty *duty,
 				      struct fleet_server *server)
 {
-	struct duty_engine **bucket = bucket_of(duty, server);
-	struct duty_engine *engine = find_engine(duty, server);
+	struct duty_engine *engine = server->duty_engine;
 
 	if (engine)
 		return engine;
@@ -143,8 +120,7 @@
 	engine->orders = -1;
 	engine->next = duty->engines;
 	duty->engines = engine;
-	engine->next_in_bucket = *bucket;
-	*bucket = engine;
+	server->duty_engine = engine;
 	return engine;
 }
 
@@ -456,9 +432,7 @@
 		    const struct weight_need *need)
 {
 	struct version_duty *duty =
-		(struct version_duty *)((char *)listener -
-					offsetof(struct version_duty,
-						 board_listener));
+		container_of(listener, struct version_duty, board_listener);
 
 	if (need_table_put(&duty->needs, need, now_ns(duty)))
 		return;
@@ -467,9 +441,7 @@
 
 static struct version_duty *fleet_duty(struct fleet_listener *listener)
 {
-	return (struct version_duty *)((char *)listener -
-				       offsetof(struct version_duty,
-						fleet_listener));
+	return container_of(listener, struct version_duty, fleet_listener);
 }
 
 static void on_server_changed(struct fleet_listener *listener,
@@ -483,18 +455,15 @@
 			      struct fleet_server *server)
 {
 	struct version_duty *duty = fleet_duty(listener);
-	struct duty_engine *engine = find_engine(duty, server);
 
-	if (engine)
-		free_engine(engine);
+	if (server->duty_engine)
+		free_engine(server->duty_engine);
 	plan_soon(duty);
 }
 
 static struct version_duty *lease_duty(struct duty_lease_listener *listener)
 {
-	return (struct version_duty *)((char *)listener -
-				       offsetof(struct version_duty,
-						lease_listener));
+	return container_of(listener, struct version_duty, lease_listener);
 }
 
 static void on_gained(struct duty_lease_listener *listener, uint64_t fence)
--- a/duty/version_duty.h
+++ b/duty/version_duty.h
@@ -16,8 +16,6 @@
  */
 struct duty_engine;
 
-#define VERSION_DUTY_BUCKETS 1024
-
 struct version_duty {
 	struct duty_lease_listener lease_listener;
 	struct weight_board_listener board_listener;
@@ -33,7 +31,6 @@
 	struct record_log *log;
 	const char *holder;
 	struct duty_engine *engines;
-	struct duty_engine *buckets[VERSION_DUTY_BUCKETS]; /* by server id */
 	struct need_table needs;
 	struct timer soon;
 	int soon_pending;
--- a/duty/weight_board.c
+++ b/duty/weight_board.c
@@ -5,6 +5,7 @@
 
 #include "base/alloc.h"
 #include "proto/topic.pb-c.h"
+#include "store/malformed_entry.h"
 #include "store/topic_message.h"
 
 #define WEIGHT_TOPIC "keyed.weights"
@@ -74,13 +75,14 @@
 static void report_malformed(struct weight_board *board, const char *key,
 			     uint64_t offset)
 {
-	struct record record;
+	const struct malformed_entry entry = {
+		.part = "weights",
+		.name = "key",
+		.key = key,
+		.offset = offset,
+	};
 
-	counter_add(board->malformed, 1);
-	record_begin(&record, board->log, "weights", "malformed");
-	record_text(&record, "key", key);
-	record_int(&record, "offset", (int64_t)offset);
-	record_end(&record);
+	malformed_entry_report(&entry, board->log, board->malformed);
 }
 
 static void on_put(struct keyed_follower *follower, const char *key,
--- a/entry/answers.h
+++ b/entry/answers.h
@@ -23,6 +23,13 @@
 	int close; /* end the connection */
 };
 
+/* Of keys, where this host can't read whether they were withdrawn. */
+#define KEYS_UNCONFIRMED "keys_unconfirmed"
+#define KEYS_UNCONFIRMED_DETAIL                                                \
+	"this host can not read whether keys were withdrawn"
+/* Another host is better; this one may have read meanwhile. */
+#define KEYS_UNCONFIRMED_RETRY_NS (300 * NS_PER_MS)
+
 /* The request must not be used after it. */
 void answer_refusal(struct net_request *request, const struct refusal *refusal);
 
--- a/entry/caller_port.c
+++ b/entry/caller_port.c
@@ -7,8 +7,6 @@
 
 /* When a caller may come back while no configuration is known yet. */
 #define NO_CONFIG_RETRY_NS (300 * NS_PER_MS)
-/* When it may ask a host that could not confirm keys; another one is better. */
-#define KEYS_RETRY_NS (300 * NS_PER_MS)
 
 static struct caller_port *port_of(struct net_handler *handler)
 {
@@ -55,9 +53,8 @@
 {
 	if (key_trust_holds(&port->config->trust, request->whole_ns))
 		return 0;
-	deny(port, request, caller->id, 503, "keys_unconfirmed",
-	     "this host can not read whether keys were withdrawn",
-	     KEYS_RETRY_NS);
+	deny(port, request, caller->id, 503, KEYS_UNCONFIRMED,
+	     KEYS_UNCONFIRMED_DETAIL, KEYS_UNCONFIRMED_RETRY_NS);
 	return 1;
 }
 
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -1,12 +1,12 @@
 #include "entry/entry_daemon.h"
 
 #include <inttypes.h>
-#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 #include "entry/entry_life.h"
 #include "platform/settings_decode.h"
 
@@ -77,9 +77,7 @@
 
 static struct entry_daemon *hears_versions(struct operator_feed_listener *from)
 {
-	return (struct entry_daemon *)((char *)from -
-				       offsetof(struct entry_daemon,
-						version_listener));
+	return container_of(from, struct entry_daemon, version_listener);
 }
 
 static void on_version(struct operator_feed_listener *listener,
@@ -153,9 +151,7 @@
 
 static struct entry_daemon *hears_loads(struct weight_board_listener *from)
 {
-	return (struct entry_daemon *)((char *)from -
-				       offsetof(struct entry_daemon,
-						load_listener));
+	return container_of(from, struct entry_daemon, load_listener);
 }
 
 static void on_load(struct weight_board_listener *listener,
@@ -169,9 +165,7 @@
 
 static struct entry_daemon *hears_needs(struct batch_need_listener *from)
 {
-	return (struct entry_daemon *)((char *)from -
-				       offsetof(struct entry_daemon,
-						need_listener));
+	return container_of(from, struct entry_daemon, need_listener);
 }
 
 /* Whoever holds the duty learns what the batches of the model need. */
@@ -241,9 +235,7 @@
 static void on_hosts_changed(struct discovery_listener *listener)
 {
 	struct entry_daemon *daemon =
-		(struct entry_daemon *)((char *)listener -
-					offsetof(struct entry_daemon,
-						 host_listener));
+		container_of(listener, struct entry_daemon, host_listener);
 
 	partition_keeper_hosts_changed(&daemon->partition_keeper);
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -31,6 +31,7 @@
 	struct circuit circuit;
 	uint32_t references;
 	void *engine; /* of the scheduler of batches; may be NULL */
+	void *duty_engine; /* of who orders weights; may be NULL */
 	uint64_t text_hash; /* of the entry as it was written; 0: not known */
 	struct fleet_server *next; /* in order of their coming */
 	struct fleet_server *before;
--- a/forward/forward_private.h
+++ b/forward/forward_private.h
@@ -55,6 +55,9 @@
 /* Chooses a server that was not tried; NULL if there is none. */
 struct fleet_server *forward_choose(struct forward *forward);
 
+/* The request was sent to the server with this id. */
+void forward_note_tried(struct forward *forward, const char *id);
+
 /* Starts a try at the server; `fresh` opens a new connection. */
 void forward_try_start(struct forward *forward, struct fleet_server *server,
 		       int fresh);
--- a/net/net_client.c
+++ b/net/net_client.c
@@ -10,6 +10,7 @@
 
 #include "base/alloc.h"
 #include "base/bug.h"
+#include "base/container_of.h"
 #include "base/hash.h"
 #include "net/net_address.h"
 
@@ -176,8 +177,7 @@
 
 static struct net_link *link_of(struct http_reader *reader)
 {
-	return (struct net_link *)((char *)reader -
-				   offsetof(struct net_link, reader));
+	return container_of(reader, struct net_link, reader);
 }
 
 static int on_head(struct http_reader *reader)
--- a/net/net_server.c
+++ b/net/net_server.c
@@ -14,6 +14,7 @@
 
 #include "base/alloc.h"
 #include "base/bug.h"
+#include "base/container_of.h"
 #include "net/net_address.h"
 
 #define LISTEN_BACKLOG 1024
@@ -278,9 +279,7 @@
 static int on_head(struct http_reader *reader)
 {
 	struct net_connection *conn =
-		(struct net_connection *)((char *)reader -
-					  offsetof(struct net_connection,
-						   reader));
+		container_of(reader, struct net_connection, reader);
 	const struct net_limits *limits = &conn->server->limits;
 	int64_t body_bytes = http_reader_body_bytes(reader);
 	const char *expect = http_head_find(&reader->head, "Expect");
@@ -297,9 +296,7 @@
 static int on_body(struct http_reader *reader, const char *data, size_t len)
 {
 	struct net_connection *conn =
-		(struct net_connection *)((char *)reader -
-					  offsetof(struct net_connection,
-						   reader));
+		container_of(reader, struct net_connection, reader);
 	struct net_server *server = conn->server;
 
 	if (conn->request.body.len + len > server->limits.max_body_bytes)
--- a/request/dispatch.c
+++ b/request/dispatch.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 #include "request/job.h"
 #include "request/stream_event.h"
 
@@ -192,8 +193,7 @@
 
 static void on_data(struct backend_call *call, const char *data, size_t len)
 {
-	struct sample *sample =
-		(struct sample *)((char *)call - offsetof(struct sample, call));
+	struct sample *sample = container_of(call, struct sample, call);
 	struct job *job = sample->job;
 
 	pthread_mutex_lock(&job->lock);
@@ -370,8 +370,7 @@
 
 static void on_done(struct backend_call *call)
 {
-	struct sample *sample =
-		(struct sample *)((char *)call - offsetof(struct sample, call));
+	struct sample *sample = container_of(call, struct sample, call);
 	struct job *job = sample->job;
 
 	pthread_mutex_lock(&job->lock);
--- a/request/service_call.c
+++ b/request/service_call.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 
 static const struct problem problem_no_server = {
 	.status = 503,
@@ -58,8 +59,7 @@
 
 static struct service_call *from_call(struct backend_call *call)
 {
-	return (struct service_call *)((char *)call -
-				       offsetof(struct service_call, call));
+	return container_of(call, struct service_call, call);
 }
 
 static void on_data(struct backend_call *backend_call, const char *data,
--- a/state/log_client.c
+++ b/state/log_client.c
@@ -5,6 +5,7 @@
 
 #include "base/alloc.h"
 #include "base/backoff.h"
+#include "base/container_of.h"
 #include "state/log_client_private.h"
 
 #define COPY_MAX_BYTES (256u * 1024)
@@ -52,9 +53,7 @@
 		       int accepted, const struct error *why)
 {
 	struct log_client *client =
-		(struct log_client *)((char *)observer -
-				      offsetof(struct log_client,
-					       own_observer));
+		container_of(observer, struct log_client, own_observer);
 
 	if (record->body_case == CURRANT__RECORD__BODY_SNAPSHOT_PART)
 		snapshot_watch_part(&client->snapshots, record,
--- /dev/null
+++ b/store/malformed_entry.h
@@ -0,0 +1,20 @@
+#ifndef STORE_MALFORMED_ENTRY_H
+#define STORE_MALFORMED_ENTRY_H
+
+#include "base/counter.h"
+#include "base/record_log.h"
+
+/* An entry of a keyed topic that cannot be read: one line and one count. */
+struct malformed_entry {
+	const char *part; /* of the lines */
+	const char *name; /* of the line's field that holds the key */
+	const char *key;
+	uint64_t offset;
+	const char *reason; /* NULL: the line has none */
+};
+
+/* `counter` may be NULL. */
+void malformed_entry_report(const struct malformed_entry *entry,
+			    struct record_log *log, struct counter *counter);
+
+#endif
--- a/store/topic_follower.c
+++ b/store/topic_follower.c
@@ -74,26 +74,31 @@
 	strbuf_finish(&follower->watch.records);
 }
 
-/* Applies what follows on what was applied; another read may overlap. */
-static void apply_from(struct topic_follower *follower, uint64_t offset,
-		       const struct strbuf *records)
+/*
+ * Applies what follows on what was applied; another read may overlap. Returns
+ * the offset behind the last of the records.
+ */
+static uint64_t apply_from(struct topic_follower *follower, uint64_t offset,
+			   const struct strbuf *records)
 {
+	int is_behind = offset > follower->next;
 	const uint8_t *data;
 	size_t len;
 	size_t at = 0;
 
-	if (offset > follower->next)
-		return;
 	for (; topic_next_record(records, &at, &data, &len); offset++) {
 		if (offset != follower->next)
 			continue;
 		follower->next++;
 		follower->vt->apply(follower, offset, data, len);
 	}
+	if (is_behind)
+		return offset;
 	if (follower->next > follower->known_end)
 		follower->known_end = follower->next;
 	if (follower->vt->applied)
 		follower->vt->applied(follower);
+	return offset;
 }
 
 /* Returns whether the read brought the follower to the end it showed. */
@@ -259,24 +264,11 @@
 		stop_watch(follower);
 }
 
-static uint64_t count_records(const struct strbuf *records)
-{
-	const uint8_t *data;
-	uint64_t count = 0;
-	size_t len;
-	size_t at = 0;
-
-	while (topic_next_record(records, &at, &data, &len))
-		count++;
-	return count;
-}
-
 void topic_follower_note_own(struct topic_follower *follower, uint64_t offset,
 			     const struct strbuf *records)
 {
-	uint64_t end = offset + count_records(records);
+	uint64_t end = apply_from(follower, offset, records);
 
-	apply_from(follower, offset, records);
 	if (follower->next >= end)
 		return;
 	if (follower->known_end < end)
