discovery: list the hosts as candidates in one place

The keeper of partitions and the ranks of the duties each copied the table of hosts into candidates, with a bound of 512 of their own, and looked the own notice up anew for each host to judge it. discovery_candidates() does it once for both. Nothing else changes.

--- a/batch/partition_keeper.c
+++ b/batch/partition_keeper.c
@@ -16,7 +16,6 @@
 #define CLAIM_SHOWS_LIFE_MS 2500
 /* An owner claims again, so that the log never forgets whose it is. */
 #define RENEW_MS 60000
-#define CANDIDATES_MAX 512
 
 static const struct entry_host *own_host(const struct partition_keeper *keeper)
 {
@@ -101,23 +100,15 @@
 		       struct owner_view *view)
 {
 	const struct partition_keeper *keeper = kept->keeper;
-	struct owner_candidate candidates[CANDIDATES_MAX];
-	uint32_t count = 0;
+	struct owner_candidate candidates[DISCOVERY_CANDIDATES_MAX];
+	uint32_t count = discovery_candidates(keeper->discovery, candidates);
 	int32_t first;
 
 	view->best_cpu_milli = 0;
-	for (const struct entry_host *h = keeper->discovery->hosts.first;
-	     h && count < CANDIDATES_MAX; h = h->next) {
-		struct owner_candidate *candidate = &candidates[count++];
-
-		candidate->name = h->name;
-		candidate->cpu_milli = h->cpu_milli;
-		candidate->takes_calls =
-			discovery_takes_calls(keeper->discovery, h);
-		if (candidate->takes_calls &&
-		    h->cpu_milli > view->best_cpu_milli)
-			view->best_cpu_milli = h->cpu_milli;
-	}
+	for (uint32_t i = 0; i < count; i++)
+		if (candidates[i].takes_calls &&
+		    candidates[i].cpu_milli > view->best_cpu_milli)
+			view->best_cpu_milli = candidates[i].cpu_milli;
 	first = partition_owner_rank(candidates, count,
 				     kept->partition->number);
 	view->is_first = first >= 0 && !strcmp(candidates[first].name,
--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -351,6 +351,22 @@
 	return entry_host_takes_calls(host, judged_ns(discovery));
 }
 
+uint32_t discovery_candidates(const struct discovery *discovery,
+			      struct owner_candidate *out)
+{
+	int64_t judged = judged_ns(discovery);
+	uint32_t count = 0;
+
+	for (const struct entry_host *h = discovery->hosts.first;
+	     h && count < DISCOVERY_CANDIDATES_MAX; h = h->next) {
+		out[count].name = h->name;
+		out[count].cpu_milli = h->cpu_milli;
+		out[count].takes_calls = entry_host_takes_calls(h, judged);
+		count++;
+	}
+	return count;
+}
+
 int discovery_is_listed(const struct discovery *discovery)
 {
 	return discovery->follower.is_listed;
--- a/discovery/discovery.h
+++ b/discovery/discovery.h
@@ -3,6 +3,7 @@
 
 #include "base/record_log.h"
 #include "discovery/host_table.h"
+#include "policy/partition_owner.h"
 #include "store/keyed_follower.h"
 #include "store/topic_writer.h"
 
@@ -51,6 +52,13 @@
 int discovery_takes_calls(const struct discovery *discovery,
 			  const struct entry_host *host);
 
+/* Hosts that are ranked; further ones own nothing. The size to come has 350. */
+#define DISCOVERY_CANDIDATES_MAX 512
+
+/* The hosts as candidates for partitions and duties; returns how many. */
+uint32_t discovery_candidates(const struct discovery *discovery,
+			      struct owner_candidate *out);
+
 /* Whether the notices of the others were read at least once. */
 int discovery_is_listed(const struct discovery *discovery);
 
--- a/entry/entry_life.c
+++ b/entry/entry_life.c
@@ -24,7 +24,6 @@
 /* How many hosts may claim the duties, and how far apart they do. */
 #define DUTY_CANDIDATES 5
 #define DUTY_STEP_NS (250 * NS_PER_MS)
-#define HOSTS_RANKED 512
 
 void entry_report_life(struct entry_daemon *daemon, const char *event,
 		       const char *reason)
@@ -60,19 +59,10 @@
 /* The strongest hosts by rank claim the duties first. */
 static void update_rank(struct entry_daemon *daemon)
 {
-	struct owner_candidate candidates[HOSTS_RANKED];
-	const struct host_table *hosts = &daemon->discovery.hosts;
-	uint32_t count = 0;
+	struct owner_candidate candidates[DISCOVERY_CANDIDATES_MAX];
+	uint32_t count = discovery_candidates(&daemon->discovery, candidates);
 	uint32_t position;
 
-	for (const struct entry_host *h = hosts->first;
-	     h && count < HOSTS_RANKED; h = h->next) {
-		candidates[count].name = h->name;
-		candidates[count].cpu_milli = h->cpu_milli;
-		candidates[count].takes_calls =
-			discovery_takes_calls(&daemon->discovery, h);
-		count++;
-	}
 	position = partition_owner_position(candidates, count, DUTY_RANK,
 					    daemon->settings.name);
 	duty_lease_set_wanted(&daemon->duty_lease,
