fleet: learn from any answer that a server leaves

Servers that leave say so in all their answers, which can be much sooner than the store's entry reaches a host, or while the store is away. Only a 421 of another server was learned from.

Whatever answer comes from a server now goes to one function that learns its load and that it leaves; single requests and items used to have a copy each.

Test: a server that says so in a success, a stream, a failure, a refusal or an answer to another request gets nothing more, though an older view of it comes again; it does once it has started again. The test fails without the field being read (each second request reaches the server).

--- a/entry/caller_request.h
+++ b/entry/caller_request.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "fleet/server_answer.h"
 #include "net/http_head.h"
 
 /*
@@ -34,22 +35,6 @@
 	int64_t last_event_id; /* a stream goes on behind it; -1: none */
 };
 
-/* What an answer of a backend server says beside its body. */
-struct server_answer {
-	uint16_t status;
-	int not_run; /* the server says that it did not run the request */
-	int other_server; /* another one has this address now */
-	int other_version; /* its weights have another version */
-	int other_request; /* the answer belongs to another request */
-	int has_receipt; /* without it, a success does not count */
-	int closing; /* the server may be leaving */
-	int has_load;
-	uint32_t running;
-	uint32_t waiting;
-	uint32_t slots;
-	uint64_t weight_version; /* 0: not said */
-};
-
 /* What this system adds to a request that it passes on. */
 struct server_request {
 	int64_t time_left_ms; /* -1: not said */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -208,6 +208,24 @@
 	}
 }
 
+void fleet_server_heard(struct fleet_server *server,
+			const struct server_answer *answer, int64_t now_ns)
+{
+	/* Whoever has the address now says nothing of this server. */
+	if (answer->other_server) {
+		server->saw_leaving = 1;
+		return;
+	}
+	if (answer->leaving)
+		server->saw_leaving = 1;
+	if (!answer->has_load)
+		return;
+	server->load.running = answer->running;
+	server->load.waiting = answer->waiting;
+	server->load.slots = answer->slots;
+	server->load.seen_ns = now_ns;
+}
+
 int fleet_server_usable(const struct fleet_server *server, int64_t now_ns)
 {
 	return !server->gone && !server->entry.leaving &&
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "fleet/server_answer.h"
 #include "fleet/server_entry.h"
 #include "policy/circuit.h"
 
@@ -97,6 +98,10 @@
 struct fleet_server *fleet_server_hold(struct fleet_server *server);
 void fleet_server_release(struct fleet_server *server);
 
+/* Learns from an answer of the server how full it is, and whether it leaves. */
+void fleet_server_heard(struct fleet_server *server,
+			const struct server_answer *answer, int64_t now_ns);
+
 /* Whether new work may be sent to it now. */
 int fleet_server_usable(const struct fleet_server *server, int64_t now_ns);
 
--- /dev/null
+++ b/fleet/plain_servers.c
@@ -0,0 +1,54 @@
+#include "fleet/plain_servers.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+#include "policy/choice_sample.h"
+
+static void view_server(const struct fleet_server *server,
+			const struct plain_chooser *chooser,
+			struct plain_server *view)
+{
+	view->slots = server->entry.slots;
+	view->own_running = server->running;
+	view->reported = server->load.running + server->load.waiting;
+	view->reported_age_ns = server->load.seen_ns
+					? chooser->now_ns - server->load.seen_ns
+					: -1;
+	view->same_data_centre =
+		!strcmp(server->entry.data_centre, chooser->data_centre);
+	view->tried = 0;
+	view->usable = 1;
+	view->cold_left_ms = server->entry.cold_left_ms;
+}
+
+static int may_take(const struct fleet_server *server, const char *service,
+		    const struct plain_chooser *chooser)
+{
+	return !strcmp(server->entry.service, service) &&
+	       fleet_server_usable(server, chooser->now_ns) &&
+	       (!chooser->skips || !chooser->skips(chooser->arg, server));
+}
+
+void plain_servers_list(struct plain_servers *list, const struct fleet *fleet,
+			const char *service,
+			const struct plain_chooser *chooser)
+{
+	struct choice_sample sample;
+
+	choice_sample_begin(&sample, PLAIN_SERVERS_MAX);
+	for (struct fleet_server *s = fleet->first; s; s = s->next) {
+		uint64_t rank;
+		int32_t place;
+
+		if (!may_take(s, service, chooser))
+			continue;
+		rank = hash_text(s->entry.id, chooser->sample_seed);
+		place = choice_sample_place(&sample, rank);
+		if (place < 0)
+			continue;
+		view_server(s, chooser, &list->views[place]);
+		list->servers[place] = s;
+	}
+	list->count = sample.count;
+}
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -32,29 +32,18 @@
 	free(try);
 }
 
-static void learn_load(struct forward_try *try)
-{
-	struct fleet_server *server = try->server;
-
-	if (!try->answer.has_load)
-		return;
-	server->load.running = try->answer.running;
-	server->load.waiting = try->answer.waiting;
-	server->load.slots = try->answer.slots;
-	server->load.seen_ns = reactor_now_ns(try->forward->forwarder->reactor);
-}
-
 static enum net_head_verdict on_head(struct net_call *net)
 {
 	struct forward_try *try = try_of(net);
 	struct server_answer *answer = &try->answer;
 
 	platform_read_answer(net->answer, try->forward->caller.id, answer);
+	fleet_server_heard(try->server, answer,
+			   reactor_now_ns(try->forward->forwarder->reactor));
 	if (answer->other_request)
 		return NET_HEAD_SKIP;
 	if (answer->status < 300 && !answer->has_receipt)
 		return NET_HEAD_REFUSE;
-	learn_load(try);
 	platform_write_answer_fields(&try->fields, net->answer);
 	try->body_bytes = net_call_body_bytes(net);
 	if (answer->status < 300 && forward_is_stream(try->forward))
@@ -117,8 +106,6 @@
 	case ATTEMPT_STALE:
 		break;
 	}
-	if (try->answer.other_server)
-		try->server->saw_leaving = 1;
 }
 
 /* A run that broke off may have taken its server down. */
--- a/policy/plain_choice.c
+++ b/policy/plain_choice.c
@@ -9,19 +9,23 @@
 /* A server that is warming up counts as this much fuller. */
 #define COLD_LOAD 0.5
 
+double plain_server_taken(const struct plain_server *server)
+{
+	double taken = server->own_running;
+	double reported = server->reported;
+
+	if (server->reported_age_ns < 0 ||
+	    server->reported_age_ns >= REPORT_FADES_NS)
+		return taken;
+	reported *= 1 - (double)server->reported_age_ns / REPORT_FADES_NS;
+	return reported > taken ? reported : taken;
+}
+
 /* Expected load, as requests a slot. */
 static double server_load(const struct plain_server *server)
 {
-	double load = server->own_running;
-	double reported = server->reported;
+	double load = plain_server_taken(server);
 
-	if (server->reported_age_ns >= 0 &&
-	    server->reported_age_ns < REPORT_FADES_NS) {
-		reported *=
-			1 - (double)server->reported_age_ns / REPORT_FADES_NS;
-		if (reported > load)
-			load = reported;
-	}
 	load /= server->slots ? server->slots : 1;
 	if (server->cold_left_ms)
 		load += COLD_LOAD;
--- a/policy/plain_choice.h
+++ b/policy/plain_choice.h
@@ -24,6 +24,12 @@
 	uint32_t cold_left_ms;
 };
 
+/*
+ * Requests that are expected to be at the server: this daemon's, or more by
+ * its last answer.
+ */
+double plain_server_taken(const struct plain_server *server);
+
 /* Index of the server, or -1 if none is usable. */
 int32_t plain_choice(const struct plain_server *servers, uint32_t count,
 		     struct rng *rng);
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -123,6 +123,7 @@
 	run->saw.last_event = field(head, "Last-Event-Id");
 	run->saw.deadline = field(head, "X-Deadline-Ms");
 	run->saw.key = field(head, "Api-Key");
+	run->saw.at_ns = reactor_now_ns(&loop_->reactor);
 	run->saw.body.assign(request->body.buf, request->body.len);
 	seen.push_back(run->saw);
 	run->reply = behaviour(run->saw);
@@ -181,6 +182,8 @@
 		  "\r\n";
 	if (!reply.no_receipt && !reply.not_run)
 		fields += "X-Response-Stamp: " + id_ + "\r\n";
+	if (reply.leaving)
+		fields += "Server-Leaving: 1\r\n";
 	if (reply.not_run)
 		fields += "X-Not-Run: 1\r\n";
 	fields += "X-Server-Load: " + std::to_string(running) + ",0,4\r\n";
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -17,6 +17,7 @@
 struct ServerSaw {
 	std::string method, target, id, team, body, last_event, instance, key;
 	std::string deadline, version;
+	int64_t at_ns;
 };
 
 // What a fake server does with a request.
@@ -30,6 +31,7 @@
 	bool before = false; // an answer to another request comes first
 	int delay_ms = 0;
 	bool hang = false; // no answer
+	bool leaving = false; // the answer says so
 	bool cut = false; // the connection ends without an answer
 	bool garbled = false; // bytes that are no answer
 
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -11,6 +11,7 @@
 #include "lib-fake-topics.h"
 
 extern "C" {
+#include "base/alloc.h"
 #include "entry/caller_port.h"
 #include "platform/config_decode.h"
 }
@@ -479,6 +480,69 @@
 namespace
 {
 
+struct LeavingCase {
+	const char *name;
+	ServerReply reply; // of the server that leaves
+	int status; // that the caller gets of it
+};
+
+ServerReply leaving(ServerReply r)
+{
+	r.leaving = true;
+	return r;
+}
+
+} // namespace
+
+// Whatever the answer is, and though the store's view says nothing of it.
+TEST_F(Forward, SendsNothingMoreToAServerThatSaysItLeaves)
+{
+	const LeavingCase cases[] = {
+		{ "a success", leaving(reply()), 200 },
+		{ "a stream", leaving(events()), 200 },
+		{ "a failure", leaving(reply(500)), 500 },
+		{ "a refusal", leaving(not_run()), 503 },
+		{ "another answer before ours",
+		  [] {
+			  ServerReply r = leaving(reply());
+
+			  r.wrong_id = "late";
+			  return r;
+		  }(),
+		  504 },
+	};
+
+	configure();
+	for (const LeavingCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		std::string id = "a" + std::to_string(&c - cases);
+		FakeServer *server = add(id, c.reply);
+		bool is_stream = c.reply.stream;
+
+		EXPECT_EQ(c.status,
+			  status(ask(request(is_stream ? "/s/x" : "/o/x"))));
+		server->join(&fleet_, "s"); // an older view comes again
+		EXPECT_EQ(503, status(ask(request("/o/x"))));
+		EXPECT_EQ(1u, server->seen.size());
+	}
+	/* The same server, once it has started again, is another one. */
+	struct server_entry entry;
+
+	server_entry_init(&entry);
+	copy_text(entry.id, sizeof(entry.id), "a0");
+	copy_text(entry.service, sizeof(entry.service), "s");
+	copy_text(entry.address, sizeof(entry.address),
+		  servers_[0]->address().c_str());
+	copy_text(entry.data_centre, sizeof(entry.data_centre), "dc");
+	entry.slots = 4;
+	entry.born_ms = 7;
+	fleet_put(&fleet_, &entry, 100);
+	EXPECT_EQ(200, status(ask(request("/o/x"))));
+}
+
+namespace
+{
+
 struct StreamCase {
 	const char *name;
 	const char *path;
