--- a/batch/batch_api.c
+++ b/batch/batch_api.c
@@ -25,8 +25,9 @@
 
 void batch_api_init(struct batch_api *api, struct reactor *reactor,
 		    struct batch_set *set, struct topic_log *store,
-		    struct record_log *log, struct counter_set *counters,
-		    const char *host, uint64_t incarnation)
+		    const struct config_holder *config, struct record_log *log,
+		    struct counter_set *counters, const char *host,
+		    uint64_t incarnation)
 {
 	memset(api, 0, sizeof(*api));
 	api->port.vt = &port_vtable;
@@ -34,6 +35,7 @@
 	api->set = set;
 	api->store = store;
 	api->log = log;
+	api->config = config;
 	api->host = host;
 	api->incarnation = incarnation;
 	api->accepted = counter_get(counters, "batches_accepted_total");
--- a/batch/batch_api.h
+++ b/batch/batch_api.h
@@ -21,6 +21,7 @@
 	struct batch_set *set;
 	struct topic_log *store;
 	struct record_log *log;
+	const struct config_holder *config;
 	const char *host;
 	uint64_t incarnation;
 	struct batch_submission *submissions;
@@ -35,8 +36,9 @@
 
 void batch_api_init(struct batch_api *api, struct reactor *reactor,
 		    struct batch_set *set, struct topic_log *store,
-		    struct record_log *log, struct counter_set *counters,
-		    const char *host, uint64_t incarnation);
+		    const struct config_holder *config, struct record_log *log,
+		    struct counter_set *counters, const char *host,
+		    uint64_t incarnation);
 void batch_api_finish(struct batch_api *api);
 
 #endif
--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -168,6 +168,7 @@
 	view->id = item->id;
 	view->is_complete = item->state == BATCH_ITEM_COMPLETE;
 	view->text = "";
+	view->score = "";
 	view->versions = set->versions;
 	view->version_count = set->count;
 	if (!text->record ||
@@ -175,6 +176,7 @@
 		return;
 	view->text = (const char *)text->record->text->text.data;
 	view->text_len = text->record->text->text.len;
+	view->score = text->record->text->score;
 }
 
 /* Writes the results that are ready; -1 if one cannot be written. */
--- a/batch/batch_draft.c
+++ b/batch/batch_draft.c
@@ -19,6 +19,10 @@
 		free(item->model);
 		strbuf_finish(&item->fields);
 		strbuf_finish(&item->body);
+		free(item->reward.id);
+		free(item->reward.host);
+		free(item->reward.path);
+		strbuf_finish(&item->reward.body);
 	}
 	free(draft->items);
 	free(draft->model);
--- a/batch/batch_draft.h
+++ b/batch/batch_draft.h
@@ -6,6 +6,14 @@
 #include "base/strbuf.h"
 #include "entry/caller_request.h"
 
+/* The call by which an item's whole text gets its score. */
+struct draft_reward {
+	char *id; /* NULL: the item needs no score */
+	char *host;
+	char *path;
+	struct strbuf body;
+};
+
 /* A batch as it was submitted, before it is accepted. */
 struct draft_item {
 	char *id;
@@ -19,6 +27,7 @@
 	uint32_t length_hint; /* output tokens that are expected; 0: none */
 	struct prompt_part parts[REQUEST_PARTS_MAX];
 	uint32_t part_count;
+	struct draft_reward reward;
 };
 
 struct batch_draft {
--- a/batch/batch_record.c
+++ b/batch/batch_record.c
@@ -10,9 +10,11 @@
 #define PART_OVERHEAD_BYTES 4096
 /* What protobuf adds to the texts of an item, at most. */
 #define ITEM_OVERHEAD_BYTES (64 + REQUEST_PARTS_MAX * 16)
+/* Likewise, to the texts of its reward call. */
+#define REWARD_OVERHEAD_BYTES 32
 
 void batch_record_add_text(struct strbuf *out, const char *batch, uint32_t item,
-			   const void *text, size_t len)
+			   const void *text, size_t len, const char *score)
 {
 	Currant__Topic__TextRecord record = CURRANT__TOPIC__TEXT_RECORD__INIT;
 	Currant__Topic__ItemText message = CURRANT__TOPIC__ITEM_TEXT__INIT;
@@ -21,16 +23,25 @@
 	message.item = item;
 	message.text.data = (uint8_t *)text;
 	message.text.len = len;
+	message.score = (char *)score;
 	record.kind_case = CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT;
 	record.text = &message;
 	topic_add_message(out, &record.base);
 }
 
+static size_t reward_bytes(const struct draft_reward *reward)
+{
+	if (!reward->id)
+		return 0;
+	return strlen(reward->id) + strlen(reward->host) +
+	       strlen(reward->path) + reward->body.len + REWARD_OVERHEAD_BYTES;
+}
+
 static size_t item_bytes(const struct draft_item *item)
 {
 	return strlen(item->id) + strlen(item->path) + item->fields.len +
 	       item->body.len + strlen(item->group) + strlen(item->model) +
-	       ITEM_OVERHEAD_BYTES;
+	       reward_bytes(&item->reward) + ITEM_OVERHEAD_BYTES;
 }
 
 /* How many items from `first` on fit into one record; 0: not even one. */
@@ -49,12 +60,28 @@
 	return at - first;
 }
 
-/* Parts of the prompt, as arrays that the message points to. */
+/* What the message of an item points to. */
 struct item_parts {
 	uint64_t ids[REQUEST_PARTS_MAX];
 	uint32_t tokens[REQUEST_PARTS_MAX];
+	Currant__Topic__RewardRequest reward;
 };
 
+static void fill_reward(Currant__Topic__BatchItem *out,
+			const struct draft_reward *reward,
+			Currant__Topic__RewardRequest *message)
+{
+	if (!reward->id)
+		return;
+	currant__topic__reward_request__init(message);
+	message->id = reward->id;
+	message->host = reward->host;
+	message->path = reward->path;
+	message->body.data = (uint8_t *)reward->body.buf;
+	message->body.len = reward->body.len;
+	out->reward = message;
+}
+
 static void fill_item(Currant__Topic__BatchItem *out,
 		      const struct draft_item *item, struct item_parts *parts)
 {
@@ -77,6 +104,7 @@
 	out->part_ids = parts->ids;
 	out->n_part_tokens = item->part_count;
 	out->part_tokens = parts->tokens;
+	fill_reward(out, &item->reward, &parts->reward);
 }
 
 /* Packs `count` items from `first` on into one record. */
--- a/batch/batch_record.h
+++ b/batch/batch_record.h
@@ -38,8 +38,8 @@
 			      const struct batch_acceptance *acceptance,
 			      uint32_t max_record_bytes);
 
-/* Appends the text of an item. */
+/* Appends the text of an item; `score` "": it has none. */
 void batch_record_add_text(struct strbuf *out, const char *batch, uint32_t item,
-			   const void *text, size_t len);
+			   const void *text, size_t len, const char *score);
 
 #endif
--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -132,11 +132,11 @@
 	if (!run_batch)
 		return;
 	item = &run_batch->items[listed];
-	if (item->state == RUN_ITEM_WAITING)
-		run_batch->waiting--;
 	if (item->run)
 		item_run_cancel(item->run);
-	item->state = RUN_ITEM_DONE;
+	if (item->reward)
+		reward_call_cancel(item->reward);
+	run_item_set_state(item, RUN_ITEM_DONE);
 	if (run_batch->is_loaded)
 		run_batch->groups[item->group].left--;
 	if (batch_is_done(batch))
@@ -198,8 +198,7 @@
 
 static void wait_again(struct run_item *item, int64_t not_before_ns)
 {
-	item->state = RUN_ITEM_WAITING;
-	item->owner->waiting++;
+	run_item_set_state(item, RUN_ITEM_WAITING);
 	item->not_before_ns = not_before_ns;
 }
 
@@ -221,9 +220,7 @@
 	struct fleet_server *server = run->engine->server;
 	int64_t now_ns = runner_now_ns(runner);
 
-	if (run->answer.other_server)
-		server->saw_leaving = 1;
-	else if (run->answer.status)
+	if (run->answer.status)
 		engine_state_block(run->engine, run->model,
 				   now_ns + REFUSED_PAUSE_NS);
 	else
@@ -267,7 +264,7 @@
 	switch (end) {
 	case ITEM_RUN_COMPLETE:
 		circuit_succeeded(&run->engine->server->circuit);
-		runner_store_result(runner, item, BATCH_ITEM_COMPLETE, NULL);
+		runner_take_text(runner, item, NULL);
 		break;
 	case ITEM_RUN_NOT_RUN:
 		learn_refusal(runner, run);
@@ -330,6 +327,7 @@
 	rng_init(&runner->rng, seed);
 	runner->sample_seed = seed;
 	carried_texts_init(&runner->carried);
+	runner_rewards_init(runner, counters);
 	runner->fleet_listener.changed = on_server_changed;
 	runner->fleet_listener.removed = on_server_changed;
 	fleet_add_listener(fleet, &runner->fleet_listener);
@@ -366,6 +364,7 @@
 
 	timer_unsubscribe(&runner->reactor->timers, &runner->schedule);
 	timer_unsubscribe(&runner->reactor->timers, &runner->watch);
+	timer_unsubscribe(&runner->reactor->timers, &runner->rewards);
 	while (owned) {
 		struct owned_partition *next = owned->next;
 
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -1,11 +1,13 @@
 #ifndef BATCH_BATCH_RUNNER_H
 #define BATCH_BATCH_RUNNER_H
 
+#include "base/histogram.h"
 #include "base/record_log.h"
 #include "base/rng.h"
 #include "batch/batch_partition.h"
 #include "batch/carried_texts.h"
 #include "batch/item_run.h"
+#include "batch/reward_call.h"
 #include "entry/config_holder.h"
 #include "fleet/fleet.h"
 
@@ -52,11 +54,17 @@
 	int schedule_pending;
 	struct timer watch; /* of runs */
 	int watching;
+	struct reward_call_owner reward_owner;
+	struct timer rewards; /* when calls are placed next */
+	int64_t rewards_at_ns; /* 0: not set */
 	struct counter *runs_started;
 	struct counter *runs_ended[6]; /* by item_run_end */
 	struct counter *results;
 	struct counter *moved;
 	struct counter *reused_texts;
+	struct counter *rewards_sent;
+	struct counter *rewards_ended[REWARD_ENDS]; /* by reward_end */
+	struct histogram reward_wait; /* from the whole text to its score */
 };
 
 void batch_runner_init(struct batch_runner *runner, struct reactor *reactor,
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -19,6 +19,20 @@
 void runner_store_result(struct batch_runner *runner, struct run_item *item,
 			 enum batch_item_state state, const char *reason);
 
+/* The item's text is whole: gets its score if it needs one, or stores it. */
+void runner_take_text(struct batch_runner *runner, struct run_item *item,
+		      const char *reason);
+
+void runner_rewards_init(struct batch_runner *runner,
+			 struct counter_set *counters);
+
+/* Looks after items whose score is owed for long. */
+void runner_watch_rewards(struct batch_runner *runner,
+			  const struct run_batch *batch);
+
+/* Appends what the item's runs have made, for a later owner. */
+void runner_note_text(struct batch_runner *runner, const struct run_item *item);
+
 /* Appends what open items' runs have made so far. */
 void runner_store_progress(struct batch_runner *runner,
 			   struct owned_partition *owned);
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -245,26 +245,57 @@
 
 static const struct net_request_owner_vtable owner_vtable = { on_gone, NULL };
 
-/* Refuses a draft that no time makes acceptable; returns -1 if it did. */
-static int check_draft(struct batch_api *api, struct net_request *request,
-		       const char *batch, const char *text, size_t len,
-		       struct batch_draft *draft)
+static int refuse_draft(struct batch_api *api, struct net_request *request,
+			const char *batch, uint16_t status, const char *type,
+			const struct error *err)
 {
-	struct error err = ERROR_INIT;
 	struct refusal refusal = {
-		.status = 400,
-		.type = "malformed_batch",
-		.detail = "the body is no batch",
+		.status = status,
+		.type = type,
+		.detail = err->text,
 		.retry_after_ns = -1,
 	};
 
-	if (!platform_batch_decode(text, len, draft, &err))
-		return 0;
-	report(api, "malformed", batch, err.text, 0, 0);
+	report(api, "malformed", batch, err->text, 0, 0);
 	refuse(api, request, batch, &refusal);
 	return -1;
 }
 
+/* Without a route to it, an item's reward call can't be made. */
+static int check_rewards(const struct batch_api *api,
+			 const struct batch_draft *draft, struct error *err)
+{
+	for (uint32_t i = 0; i < draft->item_count; i++) {
+		const struct draft_item *item = &draft->items[i];
+		const struct draft_reward *reward = &item->reward;
+
+		if (reward->id &&
+		    !entry_config_route(api->config->current, reward->host,
+					reward->path))
+			return error_set(err, ERROR_NOT_FOUND,
+					 "no route has the host and path of "
+					 "'scorer' of item '%s'",
+					 item->id);
+	}
+	return 0;
+}
+
+/* Refuses a draft that no time makes acceptable; returns -1 if it did. */
+static int check_draft(struct batch_api *api, struct net_request *request,
+		       const char *batch, struct batch_draft *draft)
+{
+	struct error err = ERROR_INIT;
+
+	if (platform_batch_decode(request->body.buf, request->body.len, draft,
+				  &err))
+		return refuse_draft(api, request, batch, 400, "malformed_batch",
+				    &err);
+	if (!check_rewards(api, draft, &err))
+		return 0;
+	batch_draft_finish(draft);
+	return refuse_draft(api, request, batch, 404, "no_reward_route", &err);
+}
+
 static int64_t patience_ns(const struct caller_request *caller)
 {
 	if (caller->time_left_ms >= 0 &&
@@ -377,8 +408,7 @@
 		return;
 	}
 	if (is_known(api, request, caller->id, team ? team->name : "") ||
-	    check_draft(api, request, caller->id, request->body.buf,
-			request->body.len, &draft))
+	    check_draft(api, request, caller->id, &draft))
 		return;
 	submission = new_submission(api, request, caller, route, team, &draft);
 	timer_subscribe_once(&api->reactor->timers, &submission->timer,
--- a/batch/item_run.c
+++ b/batch/item_run.c
@@ -60,18 +60,6 @@
 	engine_state_saw_version(run->engine, run->model, version);
 }
 
-static void learn_load(struct item_run *run)
-{
-	struct fleet_server *server = run->engine->server;
-
-	if (!run->answer.has_load)
-		return;
-	server->load.running = run->answer.running;
-	server->load.waiting = run->answer.waiting;
-	server->load.slots = run->answer.slots;
-	server->load.seen_ns = reactor_now_ns(run->reactor);
-}
-
 static enum net_head_verdict on_head(struct net_call *net)
 {
 	struct item_run *run = run_of(net);
@@ -79,9 +67,10 @@
 
 	platform_read_answer(net->answer, batch->items[run->item->number].id,
 			     &run->answer);
+	fleet_server_heard(run->engine->server, &run->answer,
+			   reactor_now_ns(run->reactor));
 	if (run->answer.other_request)
 		return NET_HEAD_SKIP;
-	learn_load(run);
 	run->event_ns = reactor_now_ns(run->reactor);
 	if (run->answer.status != 200)
 		return NET_HEAD_TAKE;
--- /dev/null
+++ b/batch/reward_call.c
@@ -0,0 +1,167 @@
+#include "batch/reward_call.h"
+
+#include <stdlib.h>
+
+#include "base/alloc.h"
+#include "platform/batch_codec.h"
+#include "platform/messages.h"
+
+const char *reward_end_name(enum reward_end end)
+{
+	static const char *const names[REWARD_ENDS] = { "scored", "not_run",
+							"failed", "rejected",
+							"lost" };
+
+	return names[end];
+}
+
+static struct reward_call *call_of(struct net_call *net)
+{
+	return (struct reward_call *)net;
+}
+
+static const Currant__Topic__RewardRequest *
+request_of(const struct reward_call *call)
+{
+	return call->item->spec->reward;
+}
+
+static void free_call(struct reward_call *call)
+{
+	timer_unsubscribe(&call->reactor->timers, &call->timer);
+	*call->at = call->next;
+	if (call->next)
+		call->next->at = call->at;
+	call->item->reward = NULL;
+	call->server->running--;
+	fleet_server_release(call->server);
+	strbuf_finish(&call->head);
+	free(call->score);
+	free(call);
+}
+
+static enum net_head_verdict on_head(struct net_call *net)
+{
+	struct reward_call *call = call_of(net);
+	const char *receipt;
+
+	platform_read_answer(net->answer, request_of(call)->id, &call->answer);
+	fleet_server_heard(call->server, &call->answer,
+			   reactor_now_ns(call->reactor));
+	if (call->answer.other_request)
+		return NET_HEAD_SKIP;
+	if (call->answer.status >= 300)
+		return NET_HEAD_TAKE;
+	receipt = platform_answer_receipt(net->answer);
+	if (!receipt || !*receipt)
+		return NET_HEAD_REFUSE;
+	free(call->score);
+	call->score = xstrdup(receipt);
+	return NET_HEAD_TAKE;
+}
+
+/* Only its head says anything; the body must come whole. */
+static int on_body(struct net_call *net, const char *data, size_t len)
+{
+	(void)net;
+	(void)data;
+	(void)len;
+	return 0;
+}
+
+static enum reward_end judge(const struct reward_call *call,
+			     enum net_outcome outcome)
+{
+	if (outcome == NET_NOT_SENT)
+		return REWARD_NOT_RUN;
+	if (outcome != NET_ANSWERED)
+		return REWARD_LOST;
+	if (call->answer.not_run)
+		return REWARD_NOT_RUN;
+	if (call->answer.status < 300)
+		return REWARD_SCORED;
+	return call->answer.status == 500 ? REWARD_FAILED : REWARD_REJECTED;
+}
+
+static void end_call(struct reward_call *call, enum reward_end end)
+{
+	struct reward_call_owner *owner = call->owner;
+
+	owner->ended(owner, call, end);
+	free_call(call);
+}
+
+static void on_done(struct net_call *net, enum net_outcome outcome)
+{
+	struct reward_call *call = call_of(net);
+
+	end_call(call, judge(call, outcome));
+}
+
+static const struct net_call_vtable call_vtable = { on_head, on_body, on_done };
+
+static void on_timeout(void *arg, int64_t now_ns)
+{
+	struct reward_call *call = arg;
+
+	(void)now_ns;
+	net_call_cancel(&call->net);
+	end_call(call, REWARD_LOST);
+}
+
+static void write_head(struct reward_call *call, int64_t timeout_ns)
+{
+	const Currant__Topic__RewardRequest *reward = request_of(call);
+	const struct server_request request = {
+		.time_left_ms = timeout_ns / NS_PER_MS,
+		.server_id = call->server->entry.id,
+		.priority = -1,
+		.last_event_id = -1,
+	};
+
+	platform_write_item_request(&call->head, reward->host, reward->path,
+				    reward->id, "", &request, reward->body.len);
+}
+
+struct reward_call *
+reward_call_start(struct reward_call_owner *owner, struct run_item *item,
+		  struct fleet_server *server, struct net_pool *pool,
+		  struct reactor *reactor, int64_t timeout_ns)
+{
+	struct reward_call *call = xcalloc(1, sizeof(*call));
+
+	call->owner = owner;
+	call->item = item;
+	call->server = fleet_server_hold(server);
+	call->reactor = reactor;
+	call->began_ns = reactor_now_ns(reactor);
+	call->next = owner->calls;
+	call->at = &owner->calls;
+	if (call->next)
+		call->next->at = &call->next;
+	owner->calls = call;
+	item->reward = call;
+	item->reward_calls++;
+	server->running++;
+	circuit_begin(&server->circuit, call->began_ns);
+	strbuf_init(&call->head);
+	write_head(call, timeout_ns);
+	call->net.vt = &call_vtable;
+	call->net.address = server->entry.address;
+	call->net.head = call->head.buf;
+	call->net.head_len = call->head.len;
+	call->net.body = request_of(call)->body.data;
+	call->net.body_len = request_of(call)->body.len;
+	net_call_start(pool, &call->net);
+	timer_subscribe_once(&reactor->timers, &call->timer, timeout_ns,
+			     on_timeout, call);
+	return call;
+}
+
+void reward_call_cancel(struct reward_call *call)
+{
+	circuit_withdrawn(&call->server->circuit,
+			  reactor_now_ns(call->reactor));
+	net_call_cancel(&call->net);
+	free_call(call);
+}
--- a/batch/run_item.c
+++ b/batch/run_item.c
@@ -70,3 +70,20 @@
 {
 	return item->owner->batch->items[item->number].id;
 }
+
+static void count_state(const struct run_item *item, uint32_t by)
+{
+	struct run_batch *batch = item->owner;
+
+	if (item->state == RUN_ITEM_WAITING)
+		batch->waiting += by;
+	else if (item->state == RUN_ITEM_SCORING)
+		batch->scoring += by;
+}
+
+void run_item_set_state(struct run_item *item, enum run_item_state state)
+{
+	count_state(item, (uint32_t)-1);
+	item->state = state;
+	count_state(item, 1);
+}
--- a/batch/run_item.h
+++ b/batch/run_item.h
@@ -11,6 +11,7 @@
 enum run_item_state {
 	RUN_ITEM_WAITING = 0,
 	RUN_ITEM_RUNNING,
+	RUN_ITEM_SCORING, /* its text is whole, and its score is owed */
 	RUN_ITEM_STORING, /* its result is being appended */
 	RUN_ITEM_DONE,
 };
@@ -25,6 +26,7 @@
 };
 
 struct item_run;
+struct reward_call;
 struct owned_partition;
 struct run_batch;
 
@@ -41,6 +43,13 @@
 	uint64_t failed_at; /* hash of the last server's id where one failed */
 	int64_t not_before_ns; /* no run is started earlier */
 	struct item_run *run;
+	struct reward_call *reward; /* that runs */
+	char *score; /* of the text; NULL: none yet */
+	int64_t whole_ns; /* when the text was whole */
+	int is_noted; /* the whole text stands in the log */
+	uint32_t reward_calls; /* that were sent */
+	uint32_t failed_rewards; /* answers of 500 to them */
+	uint32_t lost_rewards; /* calls in a row without a good answer */
 	uint32_t group; /* index */
 };
 
@@ -64,12 +73,16 @@
 	struct run_group *groups;
 	uint32_t group_count;
 	uint32_t waiting; /* items in that state */
+	uint32_t scoring; /* likewise */
 	struct run_batch *next;
 };
 
 /* As its caller named it. */
 const char *run_item_id(const struct run_item *item);
 
+/* Changes the state, and the counts of the item's batch with it. */
+void run_item_set_state(struct run_item *item, enum run_item_state state);
+
 void item_text_init(struct item_text *made);
 void item_text_finish(struct item_text *made);
 void item_text_reset(struct item_text *made);
--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -54,7 +54,8 @@
 	item_text_init(&made);
 	if (carried_texts_take(&runner->carried, run_item_id(item), &made)) {
 		item->owner->groups[item->group].is_required = 1;
-		if (item_text_fits(&made, batch->min_version,
+		if (made.last_event > item->made.last_event &&
+		    item_text_fits(&made, batch->min_version,
 				   batch->single_version)) {
 			item_text_copy(&item->made, &made);
 			counter_add(runner->reused_texts, 1);
@@ -69,8 +70,10 @@
 	const Currant__Topic__ItemProgress *progress =
 		batch_find_progress(item->owner->batch, item->number);
 
-	if (progress)
-		item->failed_runs = progress->failed_runs;
+	if (!progress)
+		return;
+	item->failed_runs = progress->failed_runs;
+	item->failed_rewards = progress->failed_rewards;
 }
 
 static void init_items(struct run_batch *batch)
@@ -99,8 +102,7 @@
 			continue;
 		take_carried(runner, item);
 		if (item->made.complete)
-			runner_store_result(runner, item, BATCH_ITEM_COMPLETE,
-					    "carried");
+			runner_take_text(runner, item, "carried");
 	}
 }
 
@@ -211,6 +213,9 @@
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		if (batch->items[i].run)
 			item_run_cancel(batch->items[i].run);
+		if (batch->items[i].reward)
+			reward_call_cancel(batch->items[i].reward);
+		free(batch->items[i].score);
 		item_text_finish(&batch->items[i].made);
 	}
 	if (batch->reading_progress)
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -103,8 +103,7 @@
 	};
 	struct item_run *run;
 
-	item->state = RUN_ITEM_RUNNING;
-	item->owner->waiting--;
+	run_item_set_state(item, RUN_ITEM_RUNNING);
 	engine->prefix = runner_item_prefix(item);
 	run = item_run_start(&runner->run_owner, item, engine, &start);
 	counter_add(runner->runs_started, 1);
--- a/batch/runner_progress.c
+++ b/batch/runner_progress.c
@@ -38,6 +38,7 @@
 	made->version_count = (uint32_t)progress->n_versions;
 	for (size_t i = 0; i < progress->n_versions; i++)
 		made->versions[i] = progress->versions[i];
+	made->complete = progress->whole;
 }
 
 static void take_record(struct run_batch *batch, uint64_t offset,
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/alloc.h"
 #include "batch/batch_runner_private.h"
@@ -6,6 +7,8 @@
 
 /* The store of today takes some 5 ms; a reader asks twice a second. */
 #define STORED_LATE_NS (500 * NS_PER_MS)
+/* What an answer holds beside a score: its name, quotes and a comma. */
+#define SCORE_OVERHEAD_BYTES 16
 
 /* A result or a note of progress on its way: first its text, then its record.
  */
@@ -21,6 +24,8 @@
 	const char *reason; /* a constant; NULL: none */
 	int64_t last_event;
 	uint32_t failed_runs;
+	int is_whole; /* the text; its score is owed */
+	uint32_t failed_rewards;
 	uint64_t versions[ITEM_VERSIONS_MAX];
 	uint32_t version_count;
 	uint32_t text_bytes;
@@ -92,6 +97,8 @@
 	progress->n_versions = out->version_count;
 	progress->text_offset = out->text_offset;
 	progress->text_bytes = out->text_bytes;
+	progress->whole = out->is_whole;
+	progress->failed_rewards = out->failed_rewards;
 }
 
 static void write_record(struct outgoing *out)
@@ -132,7 +139,8 @@
 	write_record(out);
 }
 
-static void write_text(struct outgoing *out, const struct item_text *made)
+static void write_text(struct outgoing *out, const struct item_text *made,
+		       const char *score)
 {
 	struct batch_write *write;
 
@@ -145,7 +153,7 @@
 	write->base.persistent = 1;
 	write->base.record_count = 1;
 	batch_record_add_text(&write->base.records, out->batch, out->item,
-			      made->text.buf, made->text.len);
+			      made->text.buf, made->text.len, score);
 	batch_write_start(write);
 }
 
@@ -162,12 +170,18 @@
 	out->item = item->number;
 	out->last_event = item->made.last_event;
 	out->failed_runs = item->failed_runs;
+	out->is_whole = item->made.complete;
+	out->failed_rewards = item->failed_rewards;
 	out->version_count = item->made.version_count;
 	for (uint32_t i = 0; i < out->version_count; i++)
 		out->versions[i] = item->made.versions[i];
 	out->text_bytes = (uint32_t)item->made.text.len;
 	out->answer_bytes = (uint32_t)platform_batch_text_bytes(
 		item->made.text.buf, item->made.text.len);
+	if (item->score)
+		out->answer_bytes += SCORE_OVERHEAD_BYTES +
+				     (uint32_t)platform_batch_text_bytes(
+					     item->score, strlen(item->score));
 	return out;
 }
 
@@ -185,6 +199,7 @@
 		   item->made.version_count ? (int64_t)item->made.versions[0]
 					    : -1);
 	record_int(&record, "runs", item->runs);
+	record_int(&record, "reward_calls", item->reward_calls);
 	record_text(&record, "reason", reason);
 	record_end(&record);
 }
@@ -196,13 +211,34 @@
 
 	out->state = state;
 	out->reason = reason;
-	if (item->state == RUN_ITEM_WAITING)
-		item->owner->waiting--;
-	item->state = RUN_ITEM_STORING;
+	run_item_set_state(item, RUN_ITEM_STORING);
 	counter_add(runner->results, 1);
 	report(runner, item,
 	       state == BATCH_ITEM_COMPLETE ? "complete" : "given_up", reason);
-	write_text(out, &item->made);
+	write_text(out, &item->made, item->score ? item->score : "");
+}
+
+void runner_note_text(struct batch_runner *runner, const struct run_item *item)
+{
+	struct outgoing *out = new_outgoing(runner, item);
+
+	out->is_progress = 1;
+	write_text(out, &item->made, "");
+}
+
+static int has_progress(const struct run_item *item)
+{
+	switch (item->state) {
+	case RUN_ITEM_WAITING:
+	case RUN_ITEM_RUNNING:
+		return item->made.last_event >= 0 || item->failed_runs;
+	case RUN_ITEM_SCORING:
+		return 1;
+	case RUN_ITEM_STORING:
+	case RUN_ITEM_DONE:
+		break;
+	}
+	return 0;
 }
 
 static void store_batch_progress(struct batch_runner *runner,
@@ -210,16 +246,9 @@
 {
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		const struct run_item *item = &batch->items[i];
-		struct outgoing *out;
-
-		if (item->state != RUN_ITEM_WAITING &&
-		    item->state != RUN_ITEM_RUNNING)
-			continue;
-		if (item->made.last_event < 0 && !item->failed_runs)
-			continue;
-		out = new_outgoing(runner, item);
-		out->is_progress = 1;
-		write_text(out, &item->made);
+
+		if (has_progress(item))
+			runner_note_text(runner, item);
 	}
 }
 
--- /dev/null
+++ b/batch/runner_rewards.c
@@ -0,0 +1,361 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/container_of.h"
+#include "batch/batch_runner_private.h"
+#include "fleet/plain_servers.h"
+#include "policy/reward_turn.h"
+
+/*
+ * A call's time, in goals of its route: a sound server answers within one, a
+ * full one within two, and a call that is sent again costs little.
+ */
+#define TIMEOUT_GOALS 4
+/* For routes whose goal is shorter than a pause of the network. */
+#define TIMEOUT_MIN_NS (400 * NS_PER_MS)
+/* Calls that found no room look again after this, if no call ends before. */
+#define POLL_NS (20 * NS_PER_MS)
+/* A server that refused a call gets no other one for this time. */
+#define REFUSED_PAUSE_NS (60 * NS_PER_MS)
+/* Before an item is called for again; doubled by each call in vain. */
+#define FIRST_PAUSE_NS (20 * NS_PER_MS)
+#define MAX_PAUSE_NS (2 * NS_PER_S)
+/*
+ * A whole text that waits this long for its score is noted in the log: from
+ * then on losing it to the end of this daemon costs more than the note.
+ */
+#define NOTE_AFTER_NS (500 * NS_PER_MS)
+
+struct owed_score {
+	struct run_item *item;
+	struct reward_rank rank;
+};
+
+static void place_calls(struct batch_runner *runner);
+
+static void on_rewards(void *arg, int64_t now_ns)
+{
+	struct batch_runner *runner = arg;
+
+	(void)now_ns;
+	runner->rewards_at_ns = 0;
+	place_calls(runner);
+}
+
+static void place_after(struct batch_runner *runner, int64_t delay_ns)
+{
+	int64_t at_ns = runner_now_ns(runner) + delay_ns;
+
+	if (runner->rewards_at_ns && runner->rewards_at_ns <= at_ns)
+		return;
+	timer_unsubscribe(&runner->reactor->timers, &runner->rewards);
+	runner->rewards_at_ns = at_ns;
+	timer_subscribe_once(&runner->reactor->timers, &runner->rewards,
+			     delay_ns, on_rewards, runner);
+}
+
+void runner_take_text(struct batch_runner *runner, struct run_item *item,
+		      const char *reason)
+{
+	if (!item->spec->reward) {
+		runner_store_result(runner, item, BATCH_ITEM_COMPLETE, reason);
+		return;
+	}
+	item->whole_ns = runner_now_ns(runner);
+	item->not_before_ns = 0;
+	run_item_set_state(item, RUN_ITEM_SCORING);
+	place_after(runner, 0);
+}
+
+static const struct entry_route *reward_route(const struct batch_runner *runner,
+					      const struct run_item *item)
+{
+	const Currant__Topic__RewardRequest *reward = item->spec->reward;
+
+	return entry_config_route(runner->config->current, reward->host,
+				  reward->path);
+}
+
+static void report_sent(struct batch_runner *runner,
+			const struct reward_call *call)
+{
+	const struct run_item *item = call->item;
+	const struct fleet_server *server = call->server;
+	struct record record;
+
+	record_begin(&record, runner->log, "items", "reward_sent");
+	record_text(&record, "id", item->spec->reward->id);
+	record_text(&record, "batch", item->owner->batch->id);
+	record_text(&record, "item", run_item_id(item));
+	record_text(&record, "server", server->entry.id);
+	record_int(&record, "config",
+		   (int64_t)runner->config->current->version);
+	record_int(&record, "call", item->reward_calls);
+	record_int(&record, "own_running", server->running);
+	record_int(&record, "load",
+		   server->load.running + server->load.waiting);
+	record_ms(&record, "load_age_ms",
+		  server->load.seen_ns ? call->began_ns - server->load.seen_ns
+				       : -1);
+	record_ms(&record, "waited_ms", call->began_ns - item->whole_ns);
+	record_end(&record);
+}
+
+static void report_ended(struct batch_runner *runner,
+			 const struct reward_call *call, enum reward_end end)
+{
+	const struct run_item *item = call->item;
+	struct record record;
+
+	record_begin(&record, runner->log, "items", "reward_ended");
+	record_text(&record, "id", item->spec->reward->id);
+	record_text(&record, "batch", item->owner->batch->id);
+	record_text(&record, "item", run_item_id(item));
+	record_text(&record, "server", call->server->entry.id);
+	record_text(&record, "outcome", reward_end_name(end));
+	record_int(&record, "status", call->answer.status);
+	record_int(&record, "failed", item->failed_rewards);
+	record_ms(&record, "took_ms", runner_now_ns(runner) - call->began_ns);
+	record_end(&record);
+}
+
+static int64_t timeout_ns(const struct entry_route *route)
+{
+	int64_t goals_ns = route->goal_ms * NS_PER_MS * TIMEOUT_GOALS;
+
+	return goals_ns > TIMEOUT_MIN_NS ? goals_ns : TIMEOUT_MIN_NS;
+}
+
+/* Servers that refused a call just now; the engine's state keeps it. */
+static int refused_lately(const void *arg, const struct fleet_server *server)
+{
+	const int64_t *now_ns = arg;
+
+	return server->engine &&
+	       engine_state_is_blocked(server->engine, "", *now_ns);
+}
+
+/* Returns 0 if no server has room for it. */
+static int place_call(struct batch_runner *runner, struct run_item *item)
+{
+	const struct entry_route *route = reward_route(runner, item);
+	int64_t now_ns = runner_now_ns(runner);
+	const struct plain_chooser chooser = {
+		.data_centre = runner->data_centre,
+		.sample_seed = runner->sample_seed,
+		.now_ns = now_ns,
+		.skips = refused_lately,
+		.arg = &now_ns,
+	};
+	struct plain_servers list;
+	int32_t chosen;
+
+	if (!route || !route->target_count)
+		return 0;
+	plain_servers_list(&list, runner->fleet,
+			   entry_route_service(route, rng_unit(&runner->rng)),
+			   &chooser);
+	chosen = reward_turn_place(list.views, list.count,
+				   now_ns - item->whole_ns, &runner->rng);
+	if (chosen < 0)
+		return 0;
+	reward_call_start(&runner->reward_owner, item, list.servers[chosen],
+			  runner->pool, runner->reactor, timeout_ns(route));
+	counter_add(runner->rewards_sent, 1);
+	report_sent(runner, item->reward);
+	return 1;
+}
+
+static uint32_t collect_batch(const struct batch_runner *runner,
+			      struct run_batch *batch, struct owed_score *out)
+{
+	int64_t now_ns = runner_now_ns(runner);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; batch->scoring && i < batch->batch->item_count;
+	     i++) {
+		struct run_item *item = &batch->items[i];
+		const struct run_group *group = &batch->groups[item->group];
+
+		if (item->state != RUN_ITEM_SCORING || item->reward ||
+		    now_ns < item->not_before_ns)
+			continue;
+		out[count].item = item;
+		out[count].rank = (struct reward_rank){
+			.is_required = group->is_required,
+			.step = batch->batch->step,
+			.group_left = group->left,
+			.whole_ns = item->whole_ns,
+			.number = item->number,
+		};
+		count++;
+	}
+	return count;
+}
+
+static int compare_owed(const void *a, const void *b)
+{
+	return reward_turn_compare(&((const struct owed_score *)a)->rank,
+				   &((const struct owed_score *)b)->rank);
+}
+
+static uint32_t count_scoring(const struct batch_runner *runner)
+{
+	uint32_t count = 0;
+
+	for (const struct owned_partition *o = runner->owned; o; o = o->next)
+		for (const struct run_batch *b = o->batches; b; b = b->next)
+			count += b->scoring;
+	return count;
+}
+
+static void place_calls(struct batch_runner *runner)
+{
+	uint32_t scoring = count_scoring(runner);
+	struct owed_score *owed;
+	uint32_t count = 0;
+
+	if (!scoring || !runner->config->current)
+		return;
+	owed = xcalloc(scoring, sizeof(*owed));
+	for (struct owned_partition *o = runner->owned; o; o = o->next)
+		for (struct run_batch *b = o->batches; b; b = b->next)
+			count += collect_batch(runner, b, owed + count);
+	qsort(owed, count, sizeof(*owed), compare_owed);
+	for (uint32_t i = 0; i < count; i++)
+		place_call(runner, owed[i].item);
+	free(owed);
+	place_after(runner, POLL_NS);
+}
+
+/* The server does not take the call: others do meanwhile. */
+static void learn_refusal(struct batch_runner *runner,
+			  const struct reward_call *call)
+{
+	struct fleet_server *server = call->server;
+	int64_t now_ns = runner_now_ns(runner);
+
+	if (!call->answer.status)
+		circuit_failed(&server->circuit, &runner->rng, now_ns);
+	else if (!server->gone)
+		engine_state_block(engine_state_get(server, &runner->engines),
+				   "", now_ns + REFUSED_PAUSE_NS);
+}
+
+/* After each call in vain the next one is sent later. */
+static void pause(struct run_item *item, int64_t now_ns)
+{
+	int64_t pause_ns = FIRST_PAUSE_NS;
+
+	for (uint32_t i = 0; i < item->lost_rewards && pause_ns < MAX_PAUSE_NS;
+	     i++)
+		pause_ns *= 2;
+	item->lost_rewards++;
+	item->not_before_ns = now_ns + pause_ns;
+}
+
+/*
+ * An item may be given up after as many failures as its call's route allows;
+ * its own route may allow more.
+ */
+static uint32_t failures_allowed(const struct batch_runner *runner,
+				 const struct run_item *item)
+{
+	const struct entry_route *route = reward_route(runner, item);
+	uint32_t allowed = item->owner->batch->max_attempts;
+
+	if (route && route->max_attempts > allowed)
+		allowed = route->max_attempts;
+	return allowed;
+}
+
+static void take_score(struct batch_runner *runner, struct reward_call *call)
+{
+	struct run_item *item = call->item;
+
+	histogram_add(&runner->reward_wait,
+		      runner_now_ns(runner) - item->whole_ns);
+	item->score = call->score;
+	call->score = NULL;
+	runner_store_result(runner, item, BATCH_ITEM_COMPLETE, NULL);
+}
+
+static void take_failure(struct batch_runner *runner, struct run_item *item)
+{
+	item->failed_rewards++;
+	if (runner->config->current &&
+	    item->failed_rewards >= failures_allowed(runner, item))
+		runner_store_result(runner, item, BATCH_ITEM_GIVEN_UP,
+				    "failed_rewards");
+	else
+		pause(item, runner_now_ns(runner));
+}
+
+static void on_reward_ended(struct reward_call_owner *owner,
+			    struct reward_call *call, enum reward_end end)
+{
+	struct batch_runner *runner =
+		container_of(owner, struct batch_runner, reward_owner);
+	struct circuit *circuit = &call->server->circuit;
+	int64_t now_ns = runner_now_ns(runner);
+
+	counter_add(runner->rewards_ended[end], 1);
+	if (call->answer.status && end != REWARD_LOST)
+		circuit_succeeded(circuit);
+	switch (end) {
+	case REWARD_SCORED:
+		take_score(runner, call);
+		break;
+	case REWARD_NOT_RUN:
+		learn_refusal(runner, call);
+		break;
+	case REWARD_FAILED:
+		take_failure(runner, call->item);
+		break;
+	case REWARD_LOST:
+		circuit_failed(circuit, &runner->rng, now_ns);
+		pause(call->item, now_ns);
+		break;
+	case REWARD_REJECTED:
+		pause(call->item, now_ns);
+		break;
+	}
+	report_ended(runner, call, end);
+	place_after(runner, 0);
+}
+
+void runner_watch_rewards(struct batch_runner *runner,
+			  const struct run_batch *batch)
+{
+	int64_t now_ns = runner_now_ns(runner);
+
+	for (uint32_t i = 0; batch->scoring && i < batch->batch->item_count;
+	     i++) {
+		struct run_item *item = &batch->items[i];
+
+		if (item->state != RUN_ITEM_SCORING || item->is_noted ||
+		    now_ns - item->whole_ns < NOTE_AFTER_NS)
+			continue;
+		item->is_noted = 1;
+		runner_note_text(runner, item);
+	}
+}
+
+void runner_rewards_init(struct batch_runner *runner,
+			 struct counter_set *counters)
+{
+	char name[COUNTER_NAME_MAX];
+
+	runner->reward_owner.ended = on_reward_ended;
+	runner->rewards_sent = counter_get(counters, "reward_calls_total");
+	histogram_init(&runner->reward_wait, counters, "reward_wait_seconds",
+		       "");
+	for (uint32_t i = 0; i < REWARD_ENDS; i++) {
+		snprintf(name, sizeof(name),
+			 "reward_calls_ended_total{outcome=\"%s\"}",
+			 reward_end_name((enum reward_end)i));
+		runner->rewards_ended[i] = counter_get(counters, name);
+	}
+}
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -60,13 +60,15 @@
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		struct run_item *item = &batch->items[i];
 
-		if (item->state != RUN_ITEM_WAITING &&
-		    item->state != RUN_ITEM_RUNNING)
+		if (item->state == RUN_ITEM_STORING ||
+		    item->state == RUN_ITEM_DONE)
 			continue;
 		if (!is_over && runner_route(runner, item))
 			continue;
 		if (item->run)
 			runner_requeue(runner, item->run, "given_up");
+		if (item->reward)
+			reward_call_cancel(item->reward);
 		runner_store_result(runner, item, BATCH_ITEM_GIVEN_UP,
 				    is_over ? "retention" : "no_route");
 	}
@@ -91,8 +93,10 @@
 	check_runs(runner);
 	runner_move_items(runner);
 	for (struct owned_partition *o = runner->owned; o; o = o->next)
-		for (struct run_batch *b = o->batches; b; b = b->next)
+		for (struct run_batch *b = o->batches; b; b = b->next) {
 			check_batch(runner, b);
+			runner_watch_rewards(runner, b);
+		}
 	drop_engines(runner);
 	batch_runner_wake(runner);
 }
--- a/entry/answers.c
+++ b/entry/answers.c
@@ -3,6 +3,18 @@
 #include "base/strbuf.h"
 #include "platform/messages.h"
 
+/* A sentence may name what a caller sent, which may be cut in a character. */
+static void add_json_text(struct strbuf *out, const char *text)
+{
+	for (; *text; text++) {
+		unsigned char c = (unsigned char)*text;
+
+		if (c == '"' || c == '\\')
+			strbuf_addch(out, '\\');
+		strbuf_addch(out, c < ' ' || c >= 0x7f ? '?' : *text);
+	}
+}
+
 void answer_refusal(struct net_request *request, const struct refusal *refusal)
 {
 	struct net_answer answer = { .status = refusal->status,
@@ -15,10 +27,10 @@
 	strbuf_addstr(&fields, "Content-Type: application/problem+json\r\n");
 	if (refusal->retry_after_ns >= 0)
 		platform_write_retry_after(&fields, refusal->retry_after_ns);
-	strbuf_addf(&body,
-		    "{\"type\":\"%s\",\"status\":%u,\"detail\":\"%s\","
-		    "\"ran\":\"%s\"}",
-		    refusal->type, refusal->status, refusal->detail,
+	strbuf_addf(&body, "{\"type\":\"%s\",\"status\":%u,\"detail\":\"",
+		    refusal->type, refusal->status);
+	add_json_text(&body, refusal->detail);
+	strbuf_addf(&body, "\",\"ran\":\"%s\"}",
 		    refusal->ran == RAN_NOT ? "not_run" : "unknown");
 	answer.fields = fields.buf;
 	answer.body = body.buf;
--- a/entry/answers.h
+++ b/entry/answers.h
@@ -17,7 +17,7 @@
 struct refusal {
 	uint16_t status;
 	const char *type; /* stable, such as "no_route" */
-	const char *detail; /* a short sentence without quotes */
+	const char *detail; /* a short sentence */
 	enum ran ran;
 	int64_t retry_after_ns; /* negative: not said */
 	int close; /* end the connection */
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -137,8 +137,9 @@
 	batch_set_init(&daemon->batches, &daemon->store.base,
 		       &daemon->reactor.timers, writer, &daemon->counters);
 	batch_api_init(&daemon->batch_api, &daemon->reactor, &daemon->batches,
-		       &daemon->store.base, &daemon->log, &daemon->counters,
-		       daemon->settings.name, daemon->incarnation);
+		       &daemon->store.base, &daemon->config, &daemon->log,
+		       &daemon->counters, daemon->settings.name,
+		       daemon->incarnation);
 	batch_runner_init(&daemon->batch_runner, &daemon->reactor,
 			  &daemon->server_pool, &daemon->fleet, &daemon->config,
 			  &daemon->store.base, &daemon->log, &daemon->counters,
--- a/entry/status_batches.c
+++ b/entry/status_batches.c
@@ -9,9 +9,8 @@
 };
 
 static const char *const run_states[] = {
-	[RUN_ITEM_WAITING] = "waiting",
-	[RUN_ITEM_RUNNING] = "running",
-	[RUN_ITEM_STORING] = "storing",
+	[RUN_ITEM_WAITING] = "waiting", [RUN_ITEM_RUNNING] = "running",
+	[RUN_ITEM_SCORING] = "scoring", [RUN_ITEM_STORING] = "storing",
 	[RUN_ITEM_DONE] = "done",
 };
 
@@ -88,6 +87,10 @@
 	status_put_int(row, "runs", item->runs);
 	status_put_int(row, "failed_runs", item->failed_runs);
 	status_put_int(row, "last_event", item->made.last_event);
+	status_put_text(row, "reward",
+			item->reward ? item->reward->server->entry.id : "");
+	status_put_int(row, "reward_calls", item->reward_calls);
+	status_put_int(row, "failed_rewards", item->failed_rewards);
 }
 
 static void fill_item(json_t *row, const struct batch *batch,
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &currant__topic__duty_claim__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__topic__duty_rest__init
+                     (Currant__Topic__DutyRest         *message)
+{
+  static const Currant__Topic__DutyRest init_value = CURRANT__TOPIC__DUTY_REST__INIT;
+  *message = init_value;
+}
+size_t currant__topic__duty_rest__get_packed_size
+                     (const Currant__Topic__DutyRest *message)
+{
+  assert(message->base.descriptor == &currant__topic__duty_rest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__duty_rest__pack
+                     (const Currant__Topic__DutyRest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__duty_rest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__duty_rest__pack_to_buffer
+                     (const Currant__Topic__DutyRest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__duty_rest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__DutyRest *
+       currant__topic__duty_rest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__DutyRest *)
+     protobuf_c_message_unpack (&currant__topic__duty_rest__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__duty_rest__free_unpacked
+                     (Currant__Topic__DutyRest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__duty_rest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__topic__weight_need__init
                      (Currant__Topic__WeightNeed         *message)
 {
@@ -862,6 +907,51 @@
   assert(message->base.descriptor == &currant__topic__batch_item__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   currant__topic__reward_request__init
+                     (Currant__Topic__RewardRequest         *message)
+{
+  static const Currant__Topic__RewardRequest init_value = CURRANT__TOPIC__REWARD_REQUEST__INIT;
+  *message = init_value;
+}
+size_t currant__topic__reward_request__get_packed_size
+                     (const Currant__Topic__RewardRequest *message)
+{
+  assert(message->base.descriptor == &currant__topic__reward_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__reward_request__pack
+                     (const Currant__Topic__RewardRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__reward_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__reward_request__pack_to_buffer
+                     (const Currant__Topic__RewardRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__reward_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__RewardRequest *
+       currant__topic__reward_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__RewardRequest *)
+     protobuf_c_message_unpack (&currant__topic__reward_request__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__reward_request__free_unpacked
+                     (Currant__Topic__RewardRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__reward_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   currant__topic__item_text__init
                      (Currant__Topic__ItemText         *message)
 {
@@ -1139,7 +1229,7 @@
   (ProtobufCMessageInit) currant__topic__crash_suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__duty_claim__field_descriptors[5] =
+static const ProtobufCFieldDescriptor currant__topic__duty_claim__field_descriptors[6] =
 {
   {
     "holder",
@@ -1201,18 +1291,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rests",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Topic__DutyClaim, n_rests),
+    offsetof(Currant__Topic__DutyClaim, rests),
+    &currant__topic__duty_rest__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__duty_claim__field_indices_by_name[] = {
   3,   /* field[3] = duration_ms */
   2,   /* field[2] = fence */
   0,   /* field[0] = holder */
   1,   /* field[1] = incarnation */
+  5,   /* field[5] = rests */
   4,   /* field[4] = sequence */
 };
 static const ProtobufCIntRange currant__topic__duty_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor currant__topic__duty_claim__descriptor =
 {
@@ -1222,13 +1325,64 @@
   "Currant__Topic__DutyClaim",
   "currant.topic",
   sizeof(Currant__Topic__DutyClaim),
-  5,
+  6,
   currant__topic__duty_claim__field_descriptors,
   currant__topic__duty_claim__field_indices_by_name,
   1,  currant__topic__duty_claim__number_ranges,
   (ProtobufCMessageInit) currant__topic__duty_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor currant__topic__duty_rest__field_descriptors[2] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__DutyRest, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__DutyRest, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__duty_rest__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  1,   /* field[1] = left_ms */
+};
+static const ProtobufCIntRange currant__topic__duty_rest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor currant__topic__duty_rest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.DutyRest",
+  "DutyRest",
+  "Currant__Topic__DutyRest",
+  "currant.topic",
+  sizeof(Currant__Topic__DutyRest),
+  2,
+  currant__topic__duty_rest__field_descriptors,
+  currant__topic__duty_rest__field_indices_by_name,
+  1,  currant__topic__duty_rest__number_ranges,
+  (ProtobufCMessageInit) currant__topic__duty_rest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor currant__topic__weight_need__field_descriptors[8] =
 {
   {
@@ -2348,7 +2502,7 @@
   (ProtobufCMessageInit) currant__topic__partition_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__item_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor currant__topic__item_progress__field_descriptors[9] =
 {
   {
     "batch",
@@ -2434,20 +2588,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemProgress, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_rewards",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemProgress, failed_rewards),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__item_progress__field_indices_by_name[] = {
   0,   /* field[0] = batch */
+  8,   /* field[8] = failed_rewards */
   4,   /* field[4] = failed_runs */
   1,   /* field[1] = item */
   2,   /* field[2] = last_event */
   6,   /* field[6] = text_bytes */
   5,   /* field[5] = text_offset */
   3,   /* field[3] = versions */
+  7,   /* field[7] = whole */
 };
 static const ProtobufCIntRange currant__topic__item_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor currant__topic__item_progress__descriptor =
 {
@@ -2457,7 +2637,7 @@
   "Currant__Topic__ItemProgress",
   "currant.topic",
   sizeof(Currant__Topic__ItemProgress),
-  7,
+  9,
   currant__topic__item_progress__field_descriptors,
   currant__topic__item_progress__field_indices_by_name,
   1,  currant__topic__item_progress__number_ranges,
@@ -2579,7 +2759,7 @@
   (ProtobufCMessageInit) currant__topic__batch_items__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__batch_item__field_descriptors[11] =
+static const ProtobufCFieldDescriptor currant__topic__batch_item__field_descriptors[12] =
 {
   {
     "id",
@@ -2713,6 +2893,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reward",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchItem, reward),
+    &currant__topic__reward_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__batch_item__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -2726,11 +2918,12 @@
   10,   /* field[10] = part_tokens */
   1,   /* field[1] = path */
   6,   /* field[6] = prompt_tokens */
+  11,   /* field[11] = reward */
 };
 static const ProtobufCIntRange currant__topic__batch_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor currant__topic__batch_item__descriptor =
 {
@@ -2740,14 +2933,91 @@
   "Currant__Topic__BatchItem",
   "currant.topic",
   sizeof(Currant__Topic__BatchItem),
-  11,
+  12,
   currant__topic__batch_item__field_descriptors,
   currant__topic__batch_item__field_indices_by_name,
   1,  currant__topic__batch_item__number_ranges,
   (ProtobufCMessageInit) currant__topic__batch_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__item_text__field_descriptors[3] =
+static const ProtobufCFieldDescriptor currant__topic__reward_request__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__RewardRequest, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__RewardRequest, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__RewardRequest, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__RewardRequest, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__reward_request__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  1,   /* field[1] = host */
+  0,   /* field[0] = id */
+  2,   /* field[2] = path */
+};
+static const ProtobufCIntRange currant__topic__reward_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor currant__topic__reward_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.RewardRequest",
+  "RewardRequest",
+  "Currant__Topic__RewardRequest",
+  "currant.topic",
+  sizeof(Currant__Topic__RewardRequest),
+  4,
+  currant__topic__reward_request__field_descriptors,
+  currant__topic__reward_request__field_indices_by_name,
+  1,  currant__topic__reward_request__number_ranges,
+  (ProtobufCMessageInit) currant__topic__reward_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__topic__item_text__field_descriptors[4] =
 {
   {
     "batch",
@@ -2785,16 +3055,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "score",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__ItemText, score),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__item_text__field_indices_by_name[] = {
   0,   /* field[0] = batch */
   1,   /* field[1] = item */
+  3,   /* field[3] = score */
   2,   /* field[2] = text */
 };
 static const ProtobufCIntRange currant__topic__item_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor currant__topic__item_text__descriptor =
 {
@@ -2804,7 +3087,7 @@
   "Currant__Topic__ItemText",
   "currant.topic",
   sizeof(Currant__Topic__ItemText),
-  3,
+  4,
   currant__topic__item_text__field_descriptors,
   currant__topic__item_text__field_indices_by_name,
   1,  currant__topic__item_text__number_ranges,
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Currant__Topic__HostNotice Currant__Topic__HostNotice;
 typedef struct Currant__Topic__CrashSuspect Currant__Topic__CrashSuspect;
 typedef struct Currant__Topic__DutyClaim Currant__Topic__DutyClaim;
+typedef struct Currant__Topic__DutyRest Currant__Topic__DutyRest;
 typedef struct Currant__Topic__WeightNeed Currant__Topic__WeightNeed;
 typedef struct Currant__Topic__WeightLoad Currant__Topic__WeightLoad;
 typedef struct Currant__Topic__UsageSum Currant__Topic__UsageSum;
@@ -34,6 +35,7 @@
 typedef struct Currant__Topic__TextRecord Currant__Topic__TextRecord;
 typedef struct Currant__Topic__BatchItems Currant__Topic__BatchItems;
 typedef struct Currant__Topic__BatchItem Currant__Topic__BatchItem;
+typedef struct Currant__Topic__RewardRequest Currant__Topic__RewardRequest;
 typedef struct Currant__Topic__ItemText Currant__Topic__ItemText;
 
 
@@ -132,10 +134,29 @@
    * of the holder's sends
    */
   uint64_t sequence;
+  size_t n_rests;
+  Currant__Topic__DutyRest **rests;
 };
 #define CURRANT__TOPIC__DUTY_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__duty_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * A former holder that may not claim the duty again yet.
+ */
+struct  Currant__Topic__DutyRest
+{
+  ProtobufCMessage base;
+  char *host;
+  /*
+   * from when the claim was sent
+   */
+  uint32_t left_ms;
+};
+#define CURRANT__TOPIC__DUTY_REST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__duty_rest__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -444,10 +465,18 @@
    */
   uint64_t text_offset;
   uint32_t text_bytes;
+  /*
+   * the text is; its score is owed
+   */
+  protobuf_c_boolean whole;
+  /*
+   * answers of 500 to its reward call
+   */
+  uint32_t failed_rewards;
 };
 #define CURRANT__TOPIC__ITEM_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__item_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
@@ -512,10 +541,36 @@
   uint64_t *part_ids;
   size_t n_part_tokens;
   uint32_t *part_tokens;
+  /*
+   * unset: the text needs no score
+   */
+  Currant__Topic__RewardRequest *reward;
 };
 #define CURRANT__TOPIC__BATCH_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_item__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, NULL }
+
+
+/*
+ * The call by which a whole text gets its score.
+ */
+struct  Currant__Topic__RewardRequest
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * by which its route is found
+   */
+  char *host;
+  /*
+   * likewise
+   */
+  char *path;
+  ProtobufCBinaryData body;
+};
+#define CURRANT__TOPIC__REWARD_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__reward_request__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
 
 
 /*
@@ -527,10 +582,14 @@
   char *batch;
   uint32_t item;
   ProtobufCBinaryData text;
+  /*
+   * "": none
+   */
+  char *score;
 };
 #define CURRANT__TOPIC__ITEM_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__item_text__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string }
 
 
 /* Currant__Topic__HostNotice methods */
@@ -590,6 +649,25 @@
 void   currant__topic__duty_claim__free_unpacked
                      (Currant__Topic__DutyClaim *message,
                       ProtobufCAllocator *allocator);
+/* Currant__Topic__DutyRest methods */
+void   currant__topic__duty_rest__init
+                     (Currant__Topic__DutyRest         *message);
+size_t currant__topic__duty_rest__get_packed_size
+                     (const Currant__Topic__DutyRest   *message);
+size_t currant__topic__duty_rest__pack
+                     (const Currant__Topic__DutyRest   *message,
+                      uint8_t             *out);
+size_t currant__topic__duty_rest__pack_to_buffer
+                     (const Currant__Topic__DutyRest   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__DutyRest *
+       currant__topic__duty_rest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__duty_rest__free_unpacked
+                     (Currant__Topic__DutyRest *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Topic__WeightNeed methods */
 void   currant__topic__weight_need__init
                      (Currant__Topic__WeightNeed         *message);
@@ -894,6 +972,25 @@
 void   currant__topic__batch_item__free_unpacked
                      (Currant__Topic__BatchItem *message,
                       ProtobufCAllocator *allocator);
+/* Currant__Topic__RewardRequest methods */
+void   currant__topic__reward_request__init
+                     (Currant__Topic__RewardRequest         *message);
+size_t currant__topic__reward_request__get_packed_size
+                     (const Currant__Topic__RewardRequest   *message);
+size_t currant__topic__reward_request__pack
+                     (const Currant__Topic__RewardRequest   *message,
+                      uint8_t             *out);
+size_t currant__topic__reward_request__pack_to_buffer
+                     (const Currant__Topic__RewardRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__RewardRequest *
+       currant__topic__reward_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__reward_request__free_unpacked
+                     (Currant__Topic__RewardRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Currant__Topic__ItemText methods */
 void   currant__topic__item_text__init
                      (Currant__Topic__ItemText         *message);
@@ -924,6 +1021,9 @@
 typedef void (*Currant__Topic__DutyClaim_Closure)
                  (const Currant__Topic__DutyClaim *message,
                   void *closure_data);
+typedef void (*Currant__Topic__DutyRest_Closure)
+                 (const Currant__Topic__DutyRest *message,
+                  void *closure_data);
 typedef void (*Currant__Topic__WeightNeed_Closure)
                  (const Currant__Topic__WeightNeed *message,
                   void *closure_data);
@@ -972,6 +1072,9 @@
 typedef void (*Currant__Topic__BatchItem_Closure)
                  (const Currant__Topic__BatchItem *message,
                   void *closure_data);
+typedef void (*Currant__Topic__RewardRequest_Closure)
+                 (const Currant__Topic__RewardRequest *message,
+                  void *closure_data);
 typedef void (*Currant__Topic__ItemText_Closure)
                  (const Currant__Topic__ItemText *message,
                   void *closure_data);
@@ -985,6 +1088,7 @@
 extern const ProtobufCMessageDescriptor currant__topic__host_notice__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__crash_suspect__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__duty_claim__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__duty_rest__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__weight_need__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__weight_load__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__usage_sum__descriptor;
@@ -1001,6 +1105,7 @@
 extern const ProtobufCMessageDescriptor currant__topic__text_record__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__batch_items__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__batch_item__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__reward_request__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__item_text__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/t/lib-batch-host.cc
+++ b/t/lib-batch-host.cc
@@ -6,8 +6,8 @@
 static const char config_form[] =
 	R"({"version":%llu,"routes":[%s
  {"name":"plain","host":"h","path_prefix":"/i/","type":"idempotent",
-  "timeout_ms":900,"goal_ms":300,"max_attempts":2,"service":"s"}],
- "services":[{"name":"s","engine":{"slots":4,"kv_capacity":100000,"stride":2,
+  "timeout_ms":900,"goal_ms":300,"max_attempts":2,"service":"s"}%s],
+ "services":[{"name":"r"},{"name":"r2"},{"name":"s","engine":{"slots":4,"kv_capacity":100000,"stride":2,
   "models":[{"name":"m"}]}}],
  "limits":{"max_header_bytes":4000,"max_body_bytes":1000000,
   "header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -25,6 +25,11 @@
 	       std::to_string(number);
 }
 
+std::string Submission::reward(int number) const
+{
+	return item(number) + "-reward";
+}
+
 std::string Submission::body() const
 {
 	std::string out =
@@ -45,7 +50,14 @@
 					  std::to_string(length_hint) + "\","
 				: "") +
 		       "\"X-Prompt-Prefix\":\"ab:10\"},\"body\":\"Ym9keQ==\"," +
-		       "\"tokens\":50,\"group\":\"" + group + "\"}";
+		       "\"tokens\":50,\"group\":\"" + group + "\"" +
+		       (scorer.empty()
+				? ""
+				: ",\"scorer\":{\"id\":\"" + reward(i) +
+					  "\",\"host\":\"h\",\"path\":\"" +
+					  scorer +
+					  "\",\"body\":\"c2NvcmU=\"}") +
+		       "}";
 	}
 	return out + "]}";
 }
@@ -83,8 +95,8 @@
 		       nullptr, &counters);
 	batch_set_init(&set, topics->log(), &reactor->timers, writer.c_str(),
 		       &counters);
-	batch_api_init(&api, reactor, &set, topics->log(), nullptr, &counters,
-		       name_.c_str(), incarnation);
+	batch_api_init(&api, reactor, &set, topics->log(), &config_, nullptr,
+		       &counters, name_.c_str(), incarnation);
 	batch_runner_init(&runner, reactor, &pool_, &fleet, &config_,
 			  topics->log(), nullptr, &counters, "dc", incarnation);
 	partition_keeper_init(&keeper, reactor, &set, &runner, &discovery,
@@ -115,17 +127,24 @@
 }
 
 void BatchHost::configure(uint64_t version, const std::string &extra,
-			  bool with_route)
+			  bool with_route, const std::string &reward_service)
 {
 	struct error err = ERROR_INIT;
+	std::string rewards;
 	char route[1000] = "";
 	char text[3000];
 	struct entry_config *config;
 
 	if (with_route)
 		snprintf(route, sizeof(route), route_form, extra.c_str());
+	if (!reward_service.empty())
+		rewards = ",{\"name\":\"score\",\"host\":\"h\","
+			  "\"path_prefix\":\"/score/\",\"type\":\"idempotent\","
+			  "\"timeout_ms\":900,\"goal_ms\":50,"
+			  "\"max_attempts\":3,\"service\":\"" +
+			  reward_service + "\"}";
 	snprintf(text, sizeof(text), config_form, (unsigned long long)version,
-		 route);
+		 route, rewards.c_str());
 	config = platform_config_decode(text, strlen(text), &err);
 	ASSERT_NE(nullptr, config) << err.text;
 	config_holder_take(&config_, config, 0);
@@ -189,6 +208,9 @@
 		one.id = json_string_value(json_object_get(result, "id"));
 		one.state = json_string_value(json_object_get(result, "state"));
 		one.text = json_string_value(json_object_get(result, "text"));
+		if (json_object_get(result, "score"))
+			one.score = json_string_value(
+				json_object_get(result, "score"));
 		json_array_foreach (json_object_get(result, "versions"), v,
 				    version)
 			one.versions.push_back(
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -18,7 +18,7 @@
 
 // One result as a reader gets it.
 struct ReadResult {
-	std::string id, state, text;
+	std::string id, state, text, score;
 	std::vector<uint64_t> versions;
 };
 
@@ -42,8 +42,10 @@
 	int length_hint = 0; // tokens; 0: none
 	std::string item_prefix; // of the items' ids; the batch's id if empty
 	std::string path = "/b/";
+	std::string scorer; // path of its items' reward calls; "": none
 
 	std::string item(int number) const;
+	std::string reward(int number) const; // id of its call
 	int items() const
 	{
 		return groups * group_size;
@@ -60,9 +62,11 @@
 		  const std::string &name, uint64_t incarnation = 1);
 	~BatchHost();
 
-	// Puts a configuration into force; `extra` goes into the route.
+	// Puts a configuration into force; `extra` goes into the route. Reward
+	// calls under /score/ go to `reward_service`, or nowhere if it is "".
 	void configure(uint64_t version = 1, const std::string &extra = "",
-		       bool with_route = true);
+		       bool with_route = true,
+		       const std::string &reward_service = "r");
 	void wait_ready();
 	const struct config_holder *config() const
 	{
--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -502,6 +502,7 @@
 	const char *status;
 	const char *fields;
 	bool not_run, other_server, other_version, other_request, receipt;
+	bool leaving;
 };
 
 } // namespace
@@ -511,18 +512,27 @@
 	const AnswerCase cases[] = {
 		{ "whole", "200 OK",
 		  "X-Attempt-Id: 9c\r\nX-Response-Stamp: s\r\n", false, false,
+		  false, false, true, false },
+		{ "whole, of a server that leaves", "200 OK",
+		  "Server-Leaving: 1\r\nX-Response-Stamp: s\r\n", false, false,
+		  false, false, true, true },
+		{ "full, and leaving", "503 Full",
+		  "server-leaving: 1\r\nX-Not-Run: 1\r\n", true, false, false,
 		  false, false, true },
+		{ "not leaving", "503 Full",
+		  "Server-Leaving: 0\r\nX-Not-Run: 1\r\n", true, false, false,
+		  false, false, false },
 		{ "another request's", "200 OK",
 		  "X-Attempt-Id: other\r\nX-Response-Stamp: s\r\n", false,
-		  false, false, true, true },
+		  false, false, true, true, false },
 		{ "full", "503 Full", "X-Not-Run: 1\r\n", true, false, false,
-		  false, false },
-		{ "failed", "500 Oops", "X-Attempt-Id: 9c\r\n", false, false,
 		  false, false, false },
+		{ "failed", "500 Oops", "X-Attempt-Id: 9c\r\n", false, false,
+		  false, false, false, false },
 		{ "another server", "421 Misdirected", "X-Instance-Id: i-2\r\n",
-		  true, true, false, false, false },
+		  true, true, false, false, false, false },
 		{ "another version", "421 Misdirected", "X-Not-Run: 1\r\n",
-		  true, false, true, false, false },
+		  true, false, true, false, false, false },
 	};
 
 	for (const AnswerCase &c : cases) {
@@ -538,6 +548,7 @@
 		EXPECT_EQ(c.other_version, answer.other_version != 0);
 		EXPECT_EQ(c.other_request, answer.other_request != 0);
 		EXPECT_EQ(c.receipt, answer.has_receipt != 0);
+		EXPECT_EQ(c.leaving, answer.leaving != 0);
 	}
 }
 
@@ -620,12 +631,14 @@
  "headers":{"X-Model":"m","X-Token-Count":"540,400",
  "X-Prompt-Prefix":"9c:300,5d:240","X-Length-Hint":"77","X-Tenant":"forged",
  "Content-Length":"9","Host":"forged"},"body":"q83vEjRWeJA=","tokens":940,
- "group":"g1"},{"id":"e6","path":"/p/3/92","body":""}]})";
+ "group":"g1"},{"id":"e6","path":"/p/3/92","body":"",
+ "scorer":{"id":"s6","host":"h.example","path":"/r/5","body":"3q2+7w=="}}]})";
 
 struct BatchCase {
 	const char *name;
 	std::string from, to;
 	bool valid;
+	const char *names; // what the error names
 };
 
 } // namespace
@@ -648,6 +661,11 @@
 		     "X-Prompt-Prefix: 9c:300,5d:240\r\nX-Length-Hint: 77\r\n",
 		     draft.items[0].fields.buf);
 	EXPECT_STREQ("", draft.items[1].model);
+	EXPECT_EQ(nullptr, draft.items[0].reward.id);
+	EXPECT_STREQ("s6", draft.items[1].reward.id);
+	EXPECT_STREQ("h.example", draft.items[1].reward.host);
+	EXPECT_STREQ("/r/5", draft.items[1].reward.path);
+	EXPECT_EQ(4u, draft.items[1].reward.body.len);
 	batch_draft_finish(&draft);
 }
 
@@ -692,20 +710,43 @@
 TEST(PlatformBatch, IsRefusedIfAnItemIsMalformed)
 {
 	const BatchCase cases[] = {
-		{ "as it is", "", "", true },
-		{ "cut", "]}", "", false },
-		{ "no items", "\"items\"", "\"others\"", false },
-		{ "an id twice", "\"e6\"", "\"e5\"", false },
-		{ "no id", "\"id\":\"e6\",", "", false },
-		{ "id with a line end", "\"e6\"", "\"e\\r\\n6\"", false },
-		{ "path without a slash", "/p/3/92", "p", false },
-		{ "path with a space", "/p/3/92", "/p 3", false },
-		{ "no base64", "q83vEjRWeJA=", "q83vEjRWeJA", false },
-		{ "header with a line end", "\"77\"", "\"7\\r\\nX: 7\"",
-		  false },
-		{ "header that is a number", "\"77\"", "77", false },
-		{ "header name with a colon", "X-Length-Hint", "X:", false },
-		{ "half a token count", "540,400", "540", false },
+		{ "as it is", "", "", true, "" },
+		{ "cut", "]}", "", false, "JSON" },
+		{ "no items", "\"items\"", "\"others\"", false, "items" },
+		{ "an id twice", "\"e6\"", "\"e5\"", false, "'e5'" },
+		{ "no id", "\"id\":\"e6\",", "", false, "id" },
+		{ "id with a line end", "\"e6\"", "\"e\\r\\n6\"", false, "id" },
+		{ "path without a slash", "/p/3/92", "p", false, "path" },
+		{ "path with a space", "/p/3/92", "/p 3", false, "path" },
+		{ "no base64", "q83vEjRWeJA=", "q83vEjRWeJA", false, "'e5'" },
+		{ "header with a line end", "\"77\"", "\"7\\r\\nX: 7\"", false,
+		  "'e5'" },
+		{ "header that is a number", "\"77\"", "77", false, "'e5'" },
+		{ "header name with a colon", "X-Length-Hint", "X:", false,
+		  "'e5'" },
+		{ "half a token count", "540,400", "540", false, "'e5'" },
+		{ "scorer that is none", "{\"id\":\"s6\",", "null,\"x\":{",
+		  true, "" },
+		{ "scorer that is a text", "{\"id\":\"s6\",", "\"s6\",\"x\":{",
+		  false, "'scorer' of item 'e6'" },
+		{ "scorer without an id", "\"id\":\"s6\",", "", false,
+		  "'scorer.id' of item 'e6'" },
+		{ "scorer's id with a line end", "\"s6\"", "\"s\\n6\"", false,
+		  "'scorer.id' of item 'e6'" },
+		{ "scorer's id is an item's", "\"s6\"", "\"e5\"", false,
+		  "'e5'" },
+		{ "scorer without a host", "\"host\":\"h.example\",", "", false,
+		  "'scorer.host' of item 'e6'" },
+		{ "scorer's host with a space", "h.example", "h example", false,
+		  "'scorer.host' of item 'e6'" },
+		{ "scorer without a path", "\"path\":\"/r/5\",", "", false,
+		  "'scorer.path' of item 'e6'" },
+		{ "scorer's path without a slash", "/r/5", "r/5", false,
+		  "'scorer.path' of item 'e6'" },
+		{ "scorer without a body", ",\"body\":\"3q2+7w==\"", "", false,
+		  "'scorer.body' of item 'e6'" },
+		{ "scorer's body is no base64", "3q2+7w==", "3q2+7w=", false,
+		  "'scorer.body' of item 'e6'" },
 	};
 
 	for (const BatchCase &c : cases) {
@@ -720,6 +761,7 @@
 		EXPECT_EQ(c.valid ? 0 : -1,
 			  platform_batch_decode(text.data(), text.size(),
 						&draft, &err));
+		EXPECT_NE(nullptr, strstr(err.text, c.names)) << err.text;
 		if (c.valid)
 			batch_draft_finish(&draft);
 	}
@@ -737,16 +779,18 @@
 	views[0].text_len = 5;
 	views[0].versions = versions;
 	views[0].version_count = 2;
+	views[0].score = "st.\"1";
 	views[1].id = "e6";
 	views[1].text = "";
 	strbuf_init(&out);
 	ASSERT_EQ(0, platform_batch_write_results(&out, 40, 12, views, 2));
-	EXPECT_STREQ("{\"total\":40,\"next_token\":14,\"results\":["
-		     "{\"id\":\"e5\",\"state\":\"complete\","
-		     "\"text\":\"a\\n\\\"b\\\"\",\"versions\":[6,7]},"
-		     "{\"id\":\"e6\",\"state\":\"dead_letter\",\"text\":\"\","
-		     "\"versions\":[]}]}",
-		     out.buf);
+	EXPECT_STREQ(
+		"{\"total\":40,\"next_token\":14,\"results\":["
+		"{\"id\":\"e5\",\"state\":\"complete\","
+		"\"text\":\"a\\n\\\"b\\\"\",\"versions\":[6,7],\"score\":\"st.\\\"1\"},"
+		"{\"id\":\"e6\",\"state\":\"dead_letter\",\"text\":\"\","
+		"\"versions\":[]}]}",
+		out.buf);
 	strbuf_finish(&out);
 }
 
--- /dev/null
+++ b/t/test-rewards.cc
@@ -0,0 +1,536 @@
+// Reward calls: whole texts get their scores, whatever the servers that score
+// them do, and single requests are served beside a burst of calls.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lib-batch-host.h"
+
+extern "C" {
+#include "base/alloc.h"
+#include "policy/reward_turn.h"
+}
+
+namespace
+{
+
+ServerReply stream(int events = 3)
+{
+	ServerReply r;
+
+	r.stream = true;
+	r.events = events;
+	return r;
+}
+
+ServerReply status(int code, bool not_run = false)
+{
+	ServerReply r;
+
+	r.status = code;
+	r.not_run = not_run;
+	return r;
+}
+
+class Rewards : public ::testing::Test
+{
+      protected:
+	Rewards() : topics_(&loop_.reactor.timers)
+	{
+		topics_.delay_ms = 1;
+		topics_.log()->max_record_bytes = 65536;
+		topics_.log()->max_append_bytes = 1000000;
+		submission_.scorer = "/score/x";
+	}
+
+	BatchHost *add_host(const std::string &name, uint64_t incarnation = 1)
+	{
+		hosts_.emplace_back(
+			new BatchHost(&loop_, &topics_, name, incarnation));
+		hosts_.back()->configure();
+		for (auto &engine : engines_)
+			engine->join(&hosts_.back()->fleet, "s", "m");
+		for (auto &scorer : scorers_)
+			scorer.second->join(&hosts_.back()->fleet,
+					    scorer.first);
+		hosts_.back()->wait_ready();
+		return hosts_.back().get();
+	}
+
+	FakeServer *add_engine(const std::string &id, const ServerReply &reply)
+	{
+		engines_.emplace_back(
+			new FakeServer(&loop_, id, [reply](const ServerSaw &) {
+				return reply;
+			}));
+		for (auto &host : hosts_)
+			engines_.back()->join(&host->fleet, "s", "m");
+		return engines_.back().get();
+	}
+
+	FakeServer *add_scorer(const std::string &id,
+			       const FakeServer::Behaviour &behaviour,
+			       const std::string &service = "r")
+	{
+		scorers_.emplace_back(service,
+				      new FakeServer(&loop_, id, behaviour));
+		for (auto &host : hosts_)
+			scorers_.back().second->join(&host->fleet, service);
+		return scorers_.back().second.get();
+	}
+
+	FakeServer *add_scorer(const std::string &id, const ServerReply &reply,
+			       const std::string &service = "r")
+	{
+		return add_scorer(
+			id, [reply](const ServerSaw &) { return reply; },
+			service);
+	}
+
+	void kill(BatchHost *host)
+	{
+		hosts_.erase(std::find_if(
+			hosts_.begin(), hosts_.end(),
+			[host](auto &h) { return h.get() == host; }));
+	}
+
+	size_t calls()
+	{
+		size_t count = 0;
+
+		for (auto &scorer : scorers_)
+			count += scorer.second->seen.size();
+		return count;
+	}
+
+	// All texts are whole, and their scores are owed.
+	bool wait_texts(BatchHost *host)
+	{
+		return loop_.run_until([&] {
+			uint32_t scoring = 0;
+
+			for (struct owned_partition *o = host->runner.owned; o;
+			     o = o->next)
+				for (struct run_batch *b = o->batches; b;
+				     b = b->next)
+					scoring += b->scoring;
+			return scoring == (uint32_t)submission_.items();
+		});
+	}
+
+	TestReactor loop_;
+	FakeTopics topics_;
+	Submission submission_;
+	std::vector<std::unique_ptr<FakeServer>> engines_;
+	std::vector<std::pair<std::string, std::unique_ptr<FakeServer>>>
+		scorers_;
+	std::vector<std::unique_ptr<BatchHost>> hosts_;
+};
+
+} // namespace
+
+TEST_F(Rewards, AreAskedForAsSubmittedOnceTheTextIsWhole)
+{
+	FakeServer *engine = add_engine("e", stream());
+	FakeServer *scorer = add_scorer("r1", ServerReply());
+	BatchHost *host = add_host("a");
+	std::set<std::string> asked;
+	std::string body;
+	ReadAnswer answer;
+
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(host->read_all(submission_, &answer));
+	for (const ReadResult &result : answer.results) {
+		EXPECT_EQ("complete", result.state);
+		EXPECT_EQ("r1", result.score);
+		EXPECT_EQ(fake_text(result.id, 3), result.text);
+	}
+	EXPECT_EQ(4u, engine->seen.size());
+	for (const ServerSaw &saw : scorer->seen) {
+		EXPECT_EQ("POST", saw.method);
+		EXPECT_EQ("/score/x", saw.target);
+		EXPECT_EQ("score", saw.body);
+		EXPECT_EQ("", saw.team);
+		EXPECT_EQ("", saw.key);
+		EXPECT_EQ("r1", saw.instance);
+		EXPECT_NE("", saw.deadline);
+		EXPECT_EQ("", saw.last_event);
+		asked.insert(saw.id);
+	}
+	EXPECT_EQ(4u, scorer->seen.size());
+	for (int i = 0; i < submission_.items(); i++)
+		EXPECT_TRUE(asked.count(submission_.reward(i)));
+	/* Read again from elsewhere, it is the same. */
+	EXPECT_EQ("r1", add_host("b")->read("batch1").results[0].score);
+}
+
+namespace
+{
+
+struct FaultCase {
+	const char *name;
+	ServerReply reply; // of the first calls at each of two servers
+	int faults; // such replies
+	int least_calls;
+};
+
+ServerReply with(void (*change)(ServerReply *reply))
+{
+	ServerReply r;
+
+	change(&r);
+	return r;
+}
+
+} // namespace
+
+TEST_F(Rewards, ComeWhateverTheServersDoFirst)
+{
+	const FaultCase cases[] = {
+		{ "full", status(503, true), 5, 6 },
+		{ "too many", status(429, true), 5, 6 },
+		{ "its own failure, under the limit", status(500), 2, 3 },
+		{ "not found", status(404), 3, 4 },
+		{ "unprocessable", status(422), 3, 4 },
+		{ "its time was over", status(504), 2, 3 },
+		{ "cut", with([](ServerReply *r) { r->cut = true; }), 2, 3 },
+		{ "no receipt",
+		  with([](ServerReply *r) { r->no_receipt = true; }), 2, 3 },
+		{ "another request's answer first",
+		  with([](ServerReply *r) { r->wrong_id = "other"; }), 2, 3 },
+		{ "silent", with([](ServerReply *r) { r->hang = true; }), 1,
+		  2 },
+	};
+
+	for (const FaultCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		int left = c.faults;
+		auto reply = [&](const ServerSaw &) {
+			return left-- > 0 ? c.reply : ServerReply();
+		};
+		BatchHost *host = add_host("a", 1 + (uint64_t)(&c - cases));
+		ReadAnswer answer;
+
+		submission_.id = "b" + std::to_string(&c - cases);
+		submission_.groups = submission_.group_size = 1;
+		add_engine("e", stream());
+		add_scorer("r1", reply);
+		add_scorer("r2", reply);
+		ASSERT_EQ(202, host->submit(submission_));
+		ASSERT_TRUE(host->read_all(submission_, &answer));
+		EXPECT_EQ("complete", answer.results[0].state);
+		EXPECT_TRUE(answer.results[0].score == "r1" ||
+			    answer.results[0].score == "r2");
+		EXPECT_GE(calls(), (size_t)c.least_calls);
+		EXPECT_EQ(1u, engines_[0]->seen.size());
+		kill(host);
+		engines_.clear();
+		scorers_.clear();
+	}
+}
+
+// Of the answers that are no success, only failures of the server itself let
+// an item be given up, as many as the call's route allows.
+TEST_F(Rewards, AreGivenUpAfterAsManyFailuresAsAllowed)
+{
+	add_engine("e", stream());
+	FakeServer *scorer = add_scorer("r1", status(500));
+	BatchHost *host = add_host("a");
+	std::map<std::string, int> asked;
+	ReadAnswer answer;
+
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(host->read_all(submission_, &answer));
+	for (const ReadResult &result : answer.results) {
+		EXPECT_EQ("dead_letter", result.state);
+		EXPECT_EQ("", result.score);
+	}
+	for (const ServerSaw &saw : scorer->seen)
+		asked[saw.id]++;
+	EXPECT_EQ(4u, asked.size());
+	for (auto &id : asked)
+		EXPECT_EQ(3, id.second) << id.first;
+}
+
+TEST_F(Rewards, StopWithTheirBatch)
+{
+	ServerReply silent;
+
+	silent.hang = true;
+	add_engine("e", stream());
+	FakeServer *scorer = add_scorer("r1", silent);
+	BatchHost *host = add_host("a");
+	size_t seen;
+
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(wait_texts(host));
+	ASSERT_TRUE(loop_.run_until([&] { return scorer->running > 0; }));
+	EXPECT_EQ(200, host->end("batch1"));
+	EXPECT_TRUE(loop_.run_until([&] { return !scorer->running; }, 1000));
+	seen = scorer->seen.size();
+	loop_.run_for(300);
+	EXPECT_EQ(seen, scorer->seen.size());
+}
+
+namespace
+{
+
+struct OwnerCase {
+	const char *name;
+	bool leaves; // else it is killed
+	int owed_ms; // how long the scores are owed until then
+};
+
+} // namespace
+
+// Another host takes the batch over: it makes the calls, and no text again.
+TEST_F(Rewards, AreAskedForByANewOwnerWithoutMakingTheTextAgain)
+{
+	const OwnerCase cases[] = {
+		{ "stopped at once", true, 0 },
+		{ "killed, and the texts were noted", false, 900 },
+	};
+
+	for (const OwnerCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		bool away = true;
+		BatchHost *first, *second;
+		ReadAnswer answer;
+
+		submission_.id = "b" + std::to_string(&c - cases);
+		FakeServer *engine = add_engine("e", stream());
+		FakeServer *scorer = add_scorer("r1", [&](const ServerSaw &) {
+			return away ? status(503, true) : ServerReply();
+		});
+
+		first = add_host("a", 1 + (uint64_t)(2 * (&c - cases)));
+		ASSERT_EQ(202, first->submit(submission_));
+		ASSERT_TRUE(wait_texts(first));
+		loop_.run_for(c.owed_ms);
+		second = add_host("b", 2 + (uint64_t)(2 * (&c - cases)));
+		if (c.leaves)
+			first->leave();
+		kill(first);
+		away = false;
+		ASSERT_TRUE(second->read_all(submission_, &answer, 15000));
+		for (const ReadResult &result : answer.results) {
+			EXPECT_EQ("complete", result.state);
+			EXPECT_EQ("r1", result.score);
+			EXPECT_EQ(fake_text(result.id, 3), result.text);
+		}
+		EXPECT_EQ(4u, engine->seen.size());
+		EXPECT_GE(scorer->seen.size(), 4u);
+		kill(second);
+		engines_.clear();
+		scorers_.clear();
+	}
+}
+
+// Calls go by the configuration that holds when they are sent.
+TEST_F(Rewards, FollowTheirRoute)
+{
+	add_engine("e", stream());
+	FakeServer *before = add_scorer("r1", status(503, true));
+	FakeServer *after = add_scorer("r2", ServerReply(), "r2");
+	BatchHost *host = add_host("a");
+	ReadAnswer answer;
+	size_t seen;
+
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(wait_texts(host));
+	ASSERT_TRUE(loop_.run_until([&] { return !before->seen.empty(); }));
+	host->configure(2, "", true, "");
+	loop_.run_for(50); /* calls that are on their way */
+	seen = before->seen.size();
+	loop_.run_for(200);
+	EXPECT_EQ(seen, before->seen.size()) << "there is no route";
+	EXPECT_TRUE(host->read("batch1").results.empty());
+	host->configure(3, "", true, "r2");
+	ASSERT_TRUE(host->read_all(submission_, &answer));
+	EXPECT_EQ("r2", answer.results[0].score);
+	EXPECT_EQ(4u, after->seen.size());
+	EXPECT_EQ(seen, before->seen.size());
+}
+
+TEST_F(Rewards, WithoutARouteAreRefusedWithTheBatch)
+{
+	BatchHost *host = add_host("a");
+
+	host->configure(2, "", true, "");
+	EXPECT_EQ(404, host->submit(submission_));
+	EXPECT_EQ(404, host->read("batch1").status);
+}
+
+// A server that says that it leaves gets no more calls, though its entry says
+// nothing of it.
+TEST_F(Rewards, GoToNoServerThatSaysItLeaves)
+{
+	ServerReply leaving;
+
+	leaving.leaving = true;
+	add_engine("e", stream());
+	FakeServer *first = add_scorer("r1", leaving);
+	BatchHost *host = add_host("a");
+	ReadAnswer answer;
+	size_t seen;
+
+	submission_.groups = 10;
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(loop_.run_until([&] {
+		const struct fleet_server *server =
+			fleet_find(&host->fleet, "r1");
+
+		return server->saw_leaving != 0;
+	}));
+	seen = first->seen.size();
+	FakeServer *second = add_scorer("r2", ServerReply());
+	first->join(&host->fleet, "r"); /* an older view of it */
+	ASSERT_TRUE(host->read_all(submission_, &answer));
+	EXPECT_LE(first->seen.size(), seen + 4) << "those on their way";
+	EXPECT_GE(second->seen.size(), 20 - first->seen.size());
+}
+
+namespace
+{
+
+// A server that runs so many requests side by side, and queues the others.
+struct SimServer {
+	std::vector<int64_t> slots_free_ms;
+};
+
+struct SimRequest {
+	int64_t sent_ms, done_ms;
+	size_t server;
+	bool is_call;
+};
+
+struct SimResult {
+	int64_t worst_single_ms; // from its coming to its answer
+	int64_t last_call_ms; // when the last call was answered
+};
+
+// 72 texts are whole at once, before four servers of six slots, and a single
+// request comes each 10 ms; all take 30 ms.
+SimResult replay_burst(bool calls_wait)
+{
+	const int64_t work_ms = 30;
+	std::vector<SimServer> servers(4,
+				       SimServer{ std::vector<int64_t>(6, 0) });
+	std::vector<SimRequest> running;
+	SimResult result = { 0, 0 };
+	size_t waiting = 72;
+	struct rng rng;
+
+	rng_init(&rng, 1);
+	auto views = [&] {
+		std::vector<struct plain_server> out(servers.size());
+
+		for (size_t i = 0; i < out.size(); i++) {
+			out[i] = {};
+			out[i].slots = 6;
+			out[i].usable = 1;
+			out[i].reported_age_ns = -1;
+			for (const SimRequest &r : running)
+				out[i].own_running += r.server == i;
+		}
+		return out;
+	};
+	auto send = [&](int64_t now_ms, int32_t at, bool is_call) {
+		auto &free_ms = servers[(size_t)at].slots_free_ms;
+		auto slot = std::min_element(free_ms.begin(), free_ms.end());
+
+		*slot = std::max(*slot, now_ms) + work_ms;
+		running.push_back({ now_ms, *slot, (size_t)at, is_call });
+	};
+	for (int64_t now_ms = 0; now_ms < 1000; now_ms++) {
+		for (size_t i = 0; i < running.size();) {
+			const SimRequest r = running[i];
+
+			if (r.done_ms > now_ms) {
+				i++;
+				continue;
+			}
+			if (r.is_call)
+				result.last_call_ms = now_ms;
+			else
+				result.worst_single_ms =
+					std::max(result.worst_single_ms,
+						 now_ms - r.sent_ms);
+			running.erase(running.begin() + (ptrdiff_t)i);
+		}
+		while (waiting) {
+			auto list = views();
+			int32_t at =
+				calls_wait ? reward_turn_place(
+						     list.data(),
+						     (uint32_t)list.size(),
+						     now_ms * NS_PER_MS, &rng)
+					   : plain_choice(list.data(),
+							  (uint32_t)list.size(),
+							  &rng);
+			if (at < 0)
+				break;
+			send(now_ms, at, true);
+			waiting--;
+		}
+		if (now_ms % 10 == 5) {
+			auto list = views();
+
+			send(now_ms,
+			     plain_choice(list.data(), (uint32_t)list.size(),
+					  &rng),
+			     false);
+		}
+	}
+	return result;
+}
+
+} // namespace
+
+TEST(RewardTurn, ABurstOfCallsLeavesRoomForSingleRequests)
+{
+	SimResult without = replay_burst(false);
+	SimResult now = replay_burst(true);
+
+	EXPECT_GE(without.worst_single_ms, 90) << "else the load is no burst";
+	EXPECT_EQ(30, now.worst_single_ms) << "none waits for a slot";
+	/* The calls take two thirds of the slots: half as long again. */
+	EXPECT_LE(now.last_call_ms, without.last_call_ms * 3 / 2 + 30);
+}
+
+TEST(RewardTurn, TakesEverySlotAfterALongWait)
+{
+	struct plain_server busy = {};
+	struct rng rng;
+
+	rng_init(&rng, 1);
+	busy.slots = 6;
+	busy.own_running = 5;
+	busy.reported_age_ns = -1;
+	busy.usable = 1;
+	EXPECT_EQ(-1, reward_turn_place(&busy, 1, 299 * NS_PER_MS, &rng));
+	busy.usable = 1;
+	EXPECT_EQ(0, reward_turn_place(&busy, 1, 300 * NS_PER_MS, &rng));
+	busy.usable = 1;
+	busy.own_running = 6;
+	EXPECT_EQ(-1, reward_turn_place(&busy, 1, 9000 * NS_PER_MS, &rng));
+}
+
+TEST(RewardTurn, EndsGroupsThatHaveTheLeastLeftFirst)
+{
+	const struct reward_rank in_order[] = {
+		{ 1, 9, 9, 9, 9 }, { 0, 1, 5, 9, 9 }, { 0, 2, 1, 5, 0 },
+		{ 0, 2, 1, 6, 0 }, { 0, 2, 1, 6, 1 }, { 0, 2, 2, 1, 0 },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(in_order); i++)
+		for (size_t j = 0; j < ARRAY_SIZE(in_order); j++)
+			EXPECT_EQ(i < j, reward_turn_compare(&in_order[i],
+							     &in_order[j]) < 0)
+				<< i << " " << j;
+}
