duty: keep a former holder away for the whole lease

Where the platform checks no fencing number, holders that act in the order A, B, A within the lease break a promise, in touch or not, and so does a call of A that arrives after one of B. The durations were constants of today's sites.

Each claim now names the hosts that held the duty before and for how long they must not claim it, so that a host knows of itself after a restart. Durations follow the platform's lease. A timer ends the holder's time to the moment, and with it the calls that it has under way. Engines whose answers to orders and questions say that they leave get no further ones.

--- a/duty/duty_lease.c
+++ b/duty/duty_lease.c
@@ -9,16 +9,6 @@
 
 #define DUTY_TOPIC "keyed.duty"
 #define DUTY_KEY "duties"
-/*
- * Half of the time within which the platform forbids holders to take turns,
- * so that a former holder that comes back acts no earlier than that.
- */
-#define DURATION_NS (1500 * NS_PER_MS)
-#define RENEW_NS (500 * NS_PER_MS)
-/* Clock drift over a tenure, and the way of a call that was sent at its end. */
-#define RIVAL_MARGIN_NS (400 * NS_PER_MS)
-/* A holder stops this long before its time ends. */
-#define HOLDER_MARGIN_NS (100 * NS_PER_MS)
 #define APPEND_TIMEOUT_NS (600 * NS_PER_MS)
 #define WATCH_NS (1200 * NS_PER_MS)
 #define READ_TIMEOUT_NS (600 * NS_PER_MS)
@@ -36,17 +26,17 @@
 	struct record record;
 
 	record_begin_essential(&record, lease->log, "duty", event);
-	record_text(&record, "holder", lease->holder);
+	record_text(&record, "holder", lease->view.holder);
 	record_int(&record, "fence", (int64_t)lease->fence);
 	record_ms(&record, "claim_age_ms",
-		  clock_now_ns(lease->clock) - lease->read_ns);
+		  clock_now_ns(lease->clock) - lease->view.read_ns);
 	record_text(&record, "reason", reason);
 	record_end(&record);
 }
 
 static int log_names_self(const struct duty_lease *lease)
 {
-	return !strcmp(lease->holder, lease->name) &&
+	return !strcmp(lease->view.holder, lease->name) &&
 	       lease->holder_incarnation == lease->incarnation;
 }
 
@@ -67,6 +57,15 @@
 	}
 }
 
+static void on_expiry(void *arg, int64_t now_ns)
+{
+	struct duty_lease *lease = arg;
+
+	(void)now_ns;
+	if (lease->is_holder && !duty_lease_holds(lease))
+		set_holder(lease, 0, "time_over");
+}
+
 /*
  * A claim of this host stands in the log, or was acknowledged. Its time
  * counts from before that very claim was sent, not from a later one, since a
@@ -74,25 +73,41 @@
  */
 static void take_own_claim(struct duty_lease *lease, uint64_t sequence)
 {
-	int64_t until_ns = lease->sent_ns[sequence % DUTY_LEASE_SENDS] +
-			   DURATION_NS - HOLDER_MARGIN_NS;
+	int64_t until_ns = duty_term_held_until(
+		&lease->term, lease->sent_ns[sequence % DUTY_LEASE_SENDS]);
 
 	if (lease->releasing || lease->sequence - sequence >= DUTY_LEASE_SENDS)
 		return;
 	if (until_ns > lease->held_until_ns)
 		lease->held_until_ns = until_ns;
-	if (duty_lease_holds(lease))
-		set_holder(lease, 1, "claimed");
+	if (!duty_lease_holds(lease))
+		return;
+	timer_subscribe_once(lease->timers, &lease->expiry,
+			     lease->held_until_ns - clock_now_ns(lease->clock),
+			     on_expiry, lease);
+	set_holder(lease, 1, "claimed");
+}
+
+static void take_rests(struct duty_lease *lease,
+		       const Currant__Topic__DutyClaim *claim)
+{
+	duty_rests_clear(&lease->view.rests);
+	for (size_t i = 0; i < claim->n_rests; i++)
+		duty_rests_add(&lease->view.rests, claim->rests[i]->host,
+			       lease->view.read_ns +
+				       claim->rests[i]->left_ms * NS_PER_MS,
+			       lease->view.read_ns);
 }
 
 static void take_claim(struct duty_lease *lease,
 		       const Currant__Topic__DutyClaim *claim)
 {
-	copy_text(lease->holder, sizeof(lease->holder), claim->holder);
+	copy_text(lease->view.holder, sizeof(lease->view.holder),
+		  claim->holder);
 	lease->holder_incarnation = claim->incarnation;
 	lease->fence = claim->fence;
-	lease->duration_ns = claim->duration_ms * NS_PER_MS;
-	lease->read_ns = clock_now_ns(lease->clock);
+	lease->view.duration_ns = claim->duration_ms * NS_PER_MS;
+	lease->view.read_ns = clock_now_ns(lease->clock);
 	if (log_names_self(lease)) {
 		take_own_claim(lease, claim->sequence);
 		return;
@@ -122,13 +137,14 @@
 		currant__topic__duty_claim__unpack(NULL, len, value);
 
 	if (!claim || strcmp(key, DUTY_KEY) ||
-	    strlen(claim->holder) >= sizeof(lease->holder)) {
+	    strlen(claim->holder) >= sizeof(lease->view.holder)) {
 		report_malformed(lease, key, offset);
 		if (claim)
 			currant__topic__duty_claim__free_unpacked(claim, NULL);
 		return;
 	}
 	take_claim(lease, claim);
+	take_rests(lease, claim);
 	currant__topic__duty_claim__free_unpacked(claim, NULL);
 }
 
@@ -158,10 +174,37 @@
 	claim->holder = release ? "" : lease->name;
 	claim->incarnation = lease->incarnation;
 	claim->fence = fence;
-	claim->duration_ms = DURATION_NS / NS_PER_MS;
+	claim->duration_ms = (uint32_t)(lease->term.duration_ns / NS_PER_MS);
 	claim->sequence = lease->sequence;
 }
 
+/* Who must not hold the duty yet again, as a claim says it. */
+struct claim_rests {
+	Currant__Topic__DutyRest rests[DUTY_RESTS_MAX];
+	Currant__Topic__DutyRest *list[DUTY_RESTS_MAX];
+};
+
+static void fill_rests(struct duty_lease *lease, struct claim_rests *out,
+		       Currant__Topic__DutyClaim *claim)
+{
+	int64_t now_ns = clock_now_ns(lease->clock);
+
+	for (uint32_t i = 0; i < lease->view.rests.count; i++) {
+		const struct duty_rest *rest = &lease->view.rests.list[i];
+
+		currant__topic__duty_rest__init(&out->rests[i]);
+		out->rests[i].host = (char *)rest->host;
+		if (rest->until_ns > now_ns)
+			out->rests[i].left_ms =
+				(uint32_t)((rest->until_ns - now_ns) /
+						   NS_PER_MS +
+					   1);
+		out->list[i] = &out->rests[i];
+	}
+	claim->rests = out->list;
+	claim->n_rests = lease->view.rests.count;
+}
+
 static void on_appended(struct topic_append *append)
 {
 	struct duty_lease *lease = append->arg;
@@ -181,11 +224,19 @@
 static void send_claim(struct duty_lease *lease, uint64_t fence, int release)
 {
 	Currant__Topic__DutyClaim claim;
-
+	struct claim_rests rests;
+
+	if (release)
+		duty_view_release(&lease->view, &lease->term, lease->name,
+				  clock_now_ns(lease->clock));
+	else
+		duty_view_replace(&lease->view, &lease->term, lease->name,
+				  clock_now_ns(lease->clock));
 	lease->sequence++;
 	lease->sent_ns[lease->sequence % DUTY_LEASE_SENDS] =
 		clock_now_ns(lease->clock);
 	fill_claim(lease, &claim, fence, release);
+	fill_rests(lease, &rests, &claim);
 	strbuf_reset(&lease->records);
 	topic_add_keyed_message(&lease->records, DUTY_KEY, &claim.base);
 	lease->append.records = lease->records.buf;
@@ -201,46 +252,42 @@
 {
 	int64_t sent_ns = lease->sent_ns[lease->sequence % DUTY_LEASE_SENDS];
 
-	if (now_ns - sent_ns >= RENEW_NS)
+	if (now_ns - sent_ns >= lease->term.renew_ns)
 		send_claim(lease, lease->fence, 0);
 }
 
-/* Whether the holder's time, as a rival counts it, is over. */
-static int is_free(const struct duty_lease *lease, int64_t now_ns)
+static int may_claim(const struct duty_lease *lease, int64_t now_ns)
 {
-	int64_t wait_ns = lease->extra_wait_ns;
-
 	/* Nobody else has claimed it since this host's time ran out. */
 	if (log_names_self(lease))
 		return 1;
-	if (lease->holder[0])
-		wait_ns += lease->duration_ns + RIVAL_MARGIN_NS;
-	return now_ns - lease->read_ns >= wait_ns;
+	return now_ns >= duty_view_claim_at(&lease->view, lease->name) +
+				 lease->extra_wait_ns;
 }
 
 static void on_tick(void *arg, int64_t now_ns)
 {
 	struct duty_lease *lease = arg;
 
-	if (lease->is_holder && !duty_lease_holds(lease))
-		set_holder(lease, 0, "time_over");
+	on_expiry(lease, now_ns);
 	if (lease->in_flight || lease->releasing || !lease->follower.is_listed)
 		return;
 	if (lease->is_holder) {
 		renew_if_due(lease, now_ns);
 		return;
 	}
-	if (!lease->wanted || !is_free(lease, now_ns))
+	if (!lease->wanted || !may_claim(lease, now_ns))
 		return;
-	report(lease, "claiming", lease->holder[0] ? "holder_silent" : "free");
+	report(lease, "claiming",
+	       lease->view.holder[0] ? "holder_silent" : "free");
 	/* The claim lands at this offset or not at all. */
 	send_claim(lease, lease->follower.next, 0);
 }
 
 void duty_lease_init(struct duty_lease *lease, struct topic_log *log,
 		     struct timer_service *timers, const char *name,
-		     uint64_t incarnation, struct record_log *records,
-		     struct counter_set *counters)
+		     uint64_t incarnation, uint32_t lease_ms,
+		     struct record_log *records, struct counter_set *counters)
 {
 	struct keyed_follower_settings settings = {
 		.topic = DUTY_TOPIC,
@@ -255,6 +302,7 @@
 	lease->timers = timers;
 	lease->clock = timers->clock;
 	lease->log = records;
+	duty_term_init(&lease->term, lease_ms);
 	copy_text(lease->name, sizeof(lease->name), name);
 	lease->incarnation = incarnation;
 	strbuf_init(&lease->records);
@@ -271,6 +319,7 @@
 void duty_lease_finish(struct duty_lease *lease)
 {
 	timer_unsubscribe(lease->timers, &lease->timer);
+	timer_unsubscribe(lease->timers, &lease->expiry);
 	if (lease->in_flight)
 		lease->follower.log->vt->cancel(lease->follower.log,
 						lease->append.call);
@@ -280,7 +329,7 @@
 
 void duty_lease_start(struct duty_lease *lease)
 {
-	lease->read_ns = clock_now_ns(lease->clock);
+	lease->view.read_ns = clock_now_ns(lease->clock);
 	keyed_follower_start(&lease->follower);
 	timer_subscribe(lease->timers, &lease->timer, TICK_NS, on_tick, lease);
 }
--- a/duty/duty_lease.h
+++ b/duty/duty_lease.h
@@ -2,6 +2,7 @@
 #define DUTY_DUTY_LEASE_H
 
 #include "base/record_log.h"
+#include "policy/duty_term.h"
 #include "store/keyed_follower.h"
 
 /*
@@ -10,7 +11,9 @@
  * appended only where the writer has read to the end. A holder counts its
  * time from before it sent a claim; a rival counts from after it read the
  * claim, and waits longer. The fencing number is the offset of the claim that
- * began a tenure, so that it only rises.
+ * began a tenure, so that it only rises. Claims name the hosts that held it
+ * before and must not yet again, which a host knows of itself even when its
+ * process has been started anew. Whoever hears that it is lost ends its calls.
  */
 #define DUTY_LEASE_SENDS 8 /* whose times are remembered */
 
@@ -29,8 +32,10 @@
 	struct timer_service *timers;
 	struct clock *clock;
 	struct timer timer;
+	struct timer expiry; /* the end of the holder's time */
 	struct record_log *log;
-	char name[64]; /* this host */
+	struct duty_term term;
+	char name[DUTY_HOST_BYTES]; /* this host */
 	uint64_t incarnation;
 	struct duty_lease_listener *listeners;
 
@@ -43,11 +48,9 @@
 	uint64_t sent_fence;
 
 	/* By the log. */
-	char holder[64]; /* "": nobody */
+	struct duty_view view;
 	uint64_t holder_incarnation;
 	uint64_t fence;
-	int64_t duration_ns;
-	int64_t read_ns; /* after the newest claim was read */
 
 	int64_t held_until_ns; /* nothing may be sent after it; 0: not held */
 	int is_holder;
@@ -58,8 +61,8 @@
 
 void duty_lease_init(struct duty_lease *lease, struct topic_log *log,
 		     struct timer_service *timers, const char *name,
-		     uint64_t incarnation, struct record_log *records,
-		     struct counter_set *counters);
+		     uint64_t incarnation, uint32_t lease_ms,
+		     struct record_log *records, struct counter_set *counters);
 void duty_lease_finish(struct duty_lease *lease);
 void duty_lease_start(struct duty_lease *lease);
 void duty_lease_add_listener(struct duty_lease *lease,
--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -169,6 +169,13 @@
 	duty->load_ns += LOAD_WEIGHT * (took_ns - duty->load_ns);
 }
 
+static void hear_leaving(struct duty_engine *engine,
+			 const struct duty_call *call)
+{
+	if (call->server_leaves)
+		engine->server->saw_leaving = 1;
+}
+
 /* What the engine says of itself decides, also after a lost answer. */
 static void on_report(struct duty_call *call)
 {
@@ -176,6 +183,7 @@
 	const struct engine_report *report = &engine->report;
 	int is_late = now_ns(engine->duty) - engine->ordered_ns > LOAD_MAX_NS;
 
+	hear_leaving(engine, call);
 	engine->phase = PHASE_LOADING;
 	if (call->outcome != DUTY_DONE) {
 		if (is_late)
@@ -227,6 +235,7 @@
 	struct duty_engine *engine = call->arg;
 	struct version_duty *duty = engine->duty;
 
+	hear_leaving(engine, call);
 	report_line(engine, "ordered", duty_outcome_name(call->outcome));
 	engine->phase = PHASE_IDLE;
 	switch (call->outcome) {
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -203,7 +203,8 @@
 			&daemon->store_pool, &daemon->server_pool,
 			settings->duties);
 	duty_lease_init(&daemon->duty_lease, store, timers, settings->name,
-			daemon->incarnation, &daemon->log, &daemon->counters);
+			daemon->incarnation, settings->lease_ms, &daemon->log,
+			&daemon->counters);
 	writer_name(daemon, "count", writer);
 	usage_counter_init(&daemon->usage_counter, store, timers,
 			   settings->name, daemon->incarnation, writer,
--- a/entry/status_page.c
+++ b/entry/status_page.c
@@ -170,14 +170,14 @@
 	int64_t now_ns = now_of(sources);
 
 	(void)query;
-	status_put_text(page, "duty_holder", lease->holder);
+	status_put_text(page, "duty_holder", lease->view.holder);
 	status_put_int(page, "duty_fence", (int64_t)lease->fence);
 	status_put_bool(page, "duty_here", lease->is_holder);
 	status_put_int(page, "duty_left_ms",
 		       lease->is_holder
 			       ? (lease->held_until_ns - now_ns) / NS_PER_MS
 			       : -1);
-	status_put_age(page, "duty_claim_age_ms", lease->read_ns, now_ns);
+	status_put_age(page, "duty_claim_age_ms", lease->view.read_ns, now_ns);
 	for (uint32_t i = 0; i < sources->batches->count; i++) {
 		const struct batch_partition *p =
 			&sources->batches->partitions[i];
--- a/port/duty_port.h
+++ b/port/duty_port.h
@@ -29,6 +29,7 @@
 	int64_t timeout_ns;
 	enum duty_outcome outcome;
 	uint16_t status; /* of the answer; 0: none */
+	int server_leaves; /* the engine's answer said so */
 	char detail[96]; /* of the answer, for logs */
 	void (*done)(struct duty_call *call);
 	void *arg;
--- a/t/lib-duty-host.cc
+++ b/t/lib-duty-host.cc
@@ -280,7 +280,7 @@
 	config_holder_take(&config_, config, 0);
 	named_versions_init(&named_);
 	duty_lease_init(&lease, topics->log(), timers, name.c_str(),
-			incarnation, nullptr, &counters_);
+			incarnation, 3000, nullptr, &counters_);
 	usage_counter_init(&counter, topics->log(), timers, name.c_str(),
 			   incarnation, (writer + "c").c_str(), 5, &counters_);
 	usage_duty_init(&usage, topics->log(), timers, &lease, port,
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -169,6 +169,56 @@
 	}
 }
 
+// Hosts that stop, are killed and start again under their names, one after the
+// other: none acts again within the lease once another one has acted.
+TEST_F(Duties, ComeBackToAFormerHolderAfterTheLeaseAlone)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		SCOPED_TRACE(seed);
+		std::map<std::string, int64_t> acted_ms; // the last time
+		std::string last;
+		struct rng rng;
+		int changes = 0;
+
+		rng_init(&rng, seed);
+		for (const char *name : { "a", "b", "c" })
+			add(name, (name[0] - 'a') * 100);
+		for (int64_t at_ms = 0; at_ms < 30000; at_ms += 10) {
+			DutyHost *now;
+
+			time_.run(10);
+			now = holder();
+			if (now && !rng_below(&rng, 60)) {
+				std::string name = now->name;
+
+				if (rng_below(&rng, 3)) {
+					duty_lease_release(&now->lease);
+					time_.run(10);
+				}
+				kill(now);
+				add(name, (name[0] - 'a') * 100);
+				now = nullptr;
+			}
+			if (!now)
+				continue;
+			if (last != now->name) {
+				changes++;
+				if (acted_ms.count(now->name)) {
+					EXPECT_GE(at_ms - acted_ms[now->name],
+						  3000)
+						<< now->name << " after "
+						<< last << " at " << at_ms;
+				}
+			}
+			last = now->name;
+			acted_ms[last] = at_ms;
+		}
+		EXPECT_GE(changes, 5);
+		hosts_.clear();
+		time_.run(5000);
+	}
+}
+
 TEST_F(Duties, ReportEachWindowOnceWithAllThatRan)
 {
 	DutyHost *first = add("a");
--- a/t/test-platform-http.cc
+++ b/t/test-platform-http.cc
@@ -492,6 +492,7 @@
 	}
 
 	struct engine_report report;
+	int server_leaves = 0; // by the last answer
 
       private:
 	void prepare(struct duty_call *call)
@@ -507,6 +508,7 @@
 	{
 		EXPECT_TRUE(loop_.run_until([&] { return done_; }));
 		EXPECT_EQ(nullptr, call->running);
+		server_leaves = call->server_leaves;
 		return call->outcome;
 	}
 
@@ -626,3 +628,25 @@
 	EXPECT_EQ(41000u, duty.report.memory_used);
 	EXPECT_EQ(4u, duty.report.version);
 }
+
+TEST(PlatformDuties, AnyAnswerOfAnEngineMaySayThatItLeaves)
+{
+	const struct {
+		const char *field;
+		int status, leaves;
+	} cases[] = {
+		{ "Server-Leaving: 1\r\n", 200, 1 },
+		{ "Server-Leaving: 1\r\n", 409, 1 },
+		{ "Server-Leaving: 0\r\n", 200, 0 },
+		{ "", 200, 0 },
+	};
+
+	for (const auto &c : cases)
+		for (Ask what : { Ask::WEIGHTS, Ask::REPORT }) {
+			Duty duty(raw_answer(c.status, "{}", c.field));
+
+			duty.ask(what);
+			EXPECT_EQ(c.leaves, duty.server_leaves)
+				<< c.field << c.status;
+		}
+}
--- /dev/null
+++ b/t/test-proof-duty-term.cc
@@ -0,0 +1,389 @@
+// An exhaustive search over what may happen to the holders of a duty, by the
+// decisions that daemons use: on a platform that checks no fencing number no
+// call of a former holder may arrive after one of its successor, and no holder
+// may act, another one, and the first again within the lease.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/alloc.h"
+#include "base/clock.h"
+#include "policy/duty_term.h"
+}
+
+namespace
+{
+
+const int64_t tick_ns = 100 * NS_PER_MS;
+const int horizon = 60; // ticks
+const size_t log_max = 24; // claims on one way
+const int host_count = 3;
+// How long a call that was sent may be on its way.
+const int64_t call_ns = 400 * NS_PER_MS;
+const uint32_t lease_ms = 3000;
+
+// What strikes one host at one tick.
+enum Trouble {
+	CLAIM_LOST, // its next claim stands, and is not acknowledged
+	CLAIM_LATE, // its next claim stands a second later, if it still may
+	READS_LATE, // it reads the log a second late from now on, for a second
+	CUT_OFF, // it reaches the platform alone, not the log, for two seconds
+	FROZEN, // for two seconds
+	KILLED, // it starts again at once and has forgotten everything
+	RELEASES, // it gives the duty up if it holds it
+	TROUBLES
+};
+
+struct Claim {
+	struct duty_view said; // read_ns: when it was sent
+	int fence;
+	int writer, life;
+};
+
+struct Host {
+	struct duty_view view;
+	int fence; // of the newest claim that it read
+	int holder_life;
+	int life; // of its process
+	int64_t held_until_ns;
+	int64_t sent_ns; // the last claim
+	int64_t frozen_until_ns, late_until_ns, cut_until_ns;
+	int pending; // trouble of its next claim; TROUBLES: none
+	int log_read; // claims
+};
+
+struct LateClaim {
+	Claim claim;
+	int64_t at_ns;
+	int expected; // length of the log
+	bool is_set;
+};
+
+struct World {
+	int64_t now_ns;
+	std::array<Host, host_count> hosts;
+	std::array<Claim, log_max> log;
+	std::array<int64_t, log_max> log_ns; // when each stood
+	int log_count;
+	LateClaim late;
+	// Acts that the platform may have seen.
+	int last_fence;
+	int last_actor, actor_before;
+	std::array<int64_t, host_count> acted_ns;
+	std::array<int64_t, log_max> fence_acted_ns; // by fence
+};
+
+std::string name_of(int host)
+{
+	return std::string(1, (char)('a' + host));
+}
+
+// The search: depth first, with so many troubles on each way.
+class Search
+{
+      public:
+	explicit Search(int64_t margin_ns) : margin_ns_(margin_ns)
+	{
+		duty_term_init(&term_, lease_ms);
+	}
+
+	void run(int troubles)
+	{
+		World world = {};
+
+		for (Host &host : world.hosts) {
+			host.pending = TROUBLES;
+			host.fence = -1;
+		}
+		world.last_fence = world.last_actor = world.actor_before = -1;
+		for (int64_t &at : world.fence_acted_ns)
+			at = -1;
+		for (int64_t &at : world.acted_ns)
+			at = -1;
+		go(world, troubles, 0);
+	}
+
+	uint64_t states = 0;
+	int deepest = 0;
+	std::vector<std::string> violations;
+	uint64_t changes = 0; // of the holder, on all ways
+
+      private:
+	void go(const World &from, int troubles, int depth)
+	{
+		if (depth == horizon || violations.size() > 3)
+			return;
+		states++;
+		deepest = std::max(deepest, depth);
+		if (troubles)
+			for (int host = 0; host < host_count; host++)
+				for (int t = 0; t < TROUBLES; t++) {
+					if (is_in_vain(from, host, t))
+						continue;
+					World next = from;
+
+					way_.push_back({ depth, host, t });
+					strike(next, host, t);
+					step(next);
+					go(next, troubles - 1, depth + 1);
+					way_.pop_back();
+				}
+		World next = from;
+
+		step(next);
+		go(next, troubles, depth + 1);
+	}
+
+	bool holds(const World &world, const Host &host) const
+	{
+		return host.held_until_ns > world.now_ns;
+	}
+
+	// Troubles that change nothing at a host that does nothing.
+	bool is_in_vain(const World &world, int at, int trouble) const
+	{
+		const Host &host = world.hosts[(size_t)at];
+
+		if (world.now_ns < host.frozen_until_ns)
+			return true;
+		if (trouble == RELEASES)
+			return !holds(world, host);
+		if (trouble == CLAIM_LOST || trouble == CLAIM_LATE)
+			return host.pending != TROUBLES;
+		return false;
+	}
+
+	void strike(World &world, int at, int trouble)
+	{
+		Host &host = world.hosts[(size_t)at];
+
+		switch (trouble) {
+		case CLAIM_LOST:
+		case CLAIM_LATE:
+			host.pending = trouble;
+			break;
+		case READS_LATE:
+			host.late_until_ns = world.now_ns + 10 * tick_ns;
+			break;
+		case CUT_OFF:
+			host.cut_until_ns = world.now_ns + 20 * tick_ns;
+			break;
+		case FROZEN:
+			host.frozen_until_ns = world.now_ns + 20 * tick_ns;
+			break;
+		case KILLED: {
+			int life = host.life + 1;
+
+			host = {};
+			host.life = life;
+			host.fence = -1;
+			host.pending = TROUBLES;
+			host.view.read_ns = world.now_ns;
+			break;
+		}
+		default:
+			host.held_until_ns = 0;
+			/* Its calls end with it (duty_lease_release()). */
+			world.fence_acted_ns[(size_t)host.fence] -= call_ns;
+			duty_view_release(&host.view, &term_,
+					  name_of(at).c_str(), world.now_ns);
+			send(world, at, true);
+			break;
+		}
+	}
+
+	void land(World &world, const Claim &claim)
+	{
+		ASSERT_LT(world.log_count, (int)world.log.size());
+		world.log[(size_t)world.log_count] = claim;
+		world.log_ns[(size_t)world.log_count++] = world.now_ns;
+	}
+
+	void send(World &world, int at, bool release)
+	{
+		Host &host = world.hosts[(size_t)at];
+		std::string name = name_of(at);
+		bool is_new = host.fence < 0 || !names_self(host, at);
+		Claim claim = {};
+		int trouble = host.pending;
+
+		if (!release)
+			duty_view_replace(&host.view, &term_, name.c_str(),
+					  world.now_ns);
+		claim.said = host.view;
+		claim.said.read_ns = world.now_ns;
+		claim.said.duration_ns = term_.duration_ns;
+		copy_text(claim.said.holder, sizeof(claim.said.holder),
+			  release ? "" : name.c_str());
+		claim.fence = is_new ? world.log_count : host.fence;
+		claim.writer = at;
+		claim.life = host.life;
+		host.sent_ns = world.now_ns;
+		host.pending = TROUBLES;
+		if (host.log_read != world.log_count ||
+		    world.now_ns < host.cut_until_ns)
+			return;
+		if (trouble == CLAIM_LATE) {
+			world.late = { claim, world.now_ns + 10 * tick_ns,
+				       world.log_count, true };
+			return;
+		}
+		land(world, claim);
+		if (trouble != CLAIM_LOST && !release)
+			take(world, at, claim);
+	}
+
+	bool names_self(const Host &host, int at) const
+	{
+		return host.view.holder == name_of(at) &&
+		       host.holder_life == host.life;
+	}
+
+	// A claim was read, or is acknowledged.
+	void take(World &world, int at, const Claim &claim)
+	{
+		Host &host = world.hosts[(size_t)at];
+		struct duty_view view = claim.said;
+
+		view.read_ns = world.now_ns;
+		for (uint32_t i = 0; i < view.rests.count; i++)
+			view.rests.list[i].until_ns +=
+				world.now_ns - claim.said.read_ns;
+		host.view = view;
+		host.fence = claim.fence;
+		host.holder_life = claim.life;
+		if (names_self(host, at))
+			host.held_until_ns =
+				std::max(host.held_until_ns,
+					 duty_term_held_until(
+						 &term_, claim.said.read_ns));
+		else
+			host.held_until_ns = 0;
+	}
+
+	void read(World &world, int at)
+	{
+		Host &host = world.hosts[(size_t)at];
+		int64_t until_ns = world.now_ns;
+
+		if (world.now_ns < host.cut_until_ns)
+			return;
+		if (world.now_ns < host.late_until_ns)
+			until_ns -= 10 * tick_ns;
+		while (host.log_read < world.log_count &&
+		       world.log_ns[(size_t)host.log_read] <= until_ns)
+			take(world, at, world.log[(size_t)host.log_read++]);
+	}
+
+	void act(World &world, int at)
+	{
+		Host &host = world.hosts[(size_t)at];
+		size_t fence = (size_t)host.fence;
+
+		if (world.last_actor != at) {
+			changes++;
+			if (world.acted_ns[(size_t)at] >= 0 &&
+			    world.now_ns - world.acted_ns[(size_t)at] <
+				    lease_ms * NS_PER_MS)
+				report(world, at, "turns within the lease");
+		}
+		for (size_t f = 0; f < world.fence_acted_ns.size(); f++) {
+			int64_t acted_ns = world.fence_acted_ns[f];
+
+			if (acted_ns < 0 || f == fence)
+				continue;
+			if (f > fence)
+				report(world, at, "a lower fence");
+			else if (world.now_ns - acted_ns < call_ns)
+				report(world, at, "an older call may come");
+		}
+		world.last_actor = at;
+		world.acted_ns[(size_t)at] = world.now_ns;
+		world.fence_acted_ns[fence] = world.now_ns;
+	}
+
+	void report(const World &world, int at, const std::string &what)
+	{
+		std::string text = what + ": " + name_of(at) + " at tick " +
+				   std::to_string(world.now_ns / tick_ns) +
+				   " after";
+
+		for (const auto &w : way_)
+			text += " (tick " + std::to_string(w[0]) + ", " +
+				name_of(w[1]) + ", trouble " +
+				std::to_string(w[2]) + ")";
+		violations.push_back(text);
+	}
+
+	void step_host(World &world, int at)
+	{
+		Host &host = world.hosts[(size_t)at];
+
+		if (world.now_ns < host.frozen_until_ns)
+			return;
+		read(world, at);
+		if (holds(world, host)) {
+			act(world, at);
+			if (world.now_ns - host.sent_ns >= term_.renew_ns)
+				send(world, at, false);
+			return;
+		}
+		if (host.log_read != world.log_count ||
+		    world.now_ns < host.cut_until_ns)
+			return;
+		if (!names_self(host, at) &&
+		    world.now_ns < duty_view_claim_at(&host.view,
+						      name_of(at).c_str()) -
+					   margin_ns_)
+			return;
+		if (!host.sent_ns ||
+		    world.now_ns - host.sent_ns >= term_.renew_ns)
+			send(world, at, false);
+	}
+
+	void step(World &world)
+	{
+		world.now_ns += tick_ns;
+		if (world.late.is_set && world.now_ns >= world.late.at_ns) {
+			if (world.late.expected == world.log_count)
+				land(world, world.late.claim);
+			world.late.is_set = false;
+		}
+		for (int at = 0; at < host_count; at++)
+			step_host(world, at);
+	}
+
+	struct duty_term term_;
+	int64_t margin_ns_; // by which rivals come too early: a planted fault
+	std::vector<std::array<int, 3>> way_;
+};
+
+} // namespace
+
+TEST(ProofDutyTerm, NoTwoTroublesLetHoldersOverlapOrTakeTurns)
+{
+	Search search(0);
+
+	search.run(2);
+	for (const std::string &v : search.violations)
+		ADD_FAILURE() << v;
+	RecordProperty("states", std::to_string(search.states));
+	RecordProperty("deepest", search.deepest);
+	EXPECT_EQ(horizon - 1, search.deepest);
+	EXPECT_GT(search.states, 1000000u);
+	EXPECT_GT(search.changes, 10000u) << "the duty hardly changed hands";
+}
+
+// The search finds a rival that does not wait for calls on their way.
+TEST(ProofDutyTerm, APlantedFaultIsFound)
+{
+	Search search(400 * NS_PER_MS);
+
+	search.run(1);
+	EXPECT_FALSE(search.violations.empty());
+}
--- a/t/test-status.cc
+++ b/t/test-status.cc
@@ -32,7 +32,7 @@
 		copy_text(settings_.store, sizeof(settings_.store),
 			  "127.0.0.1:7");
 		duty_lease_init(&lease_, topics_.log(), &loop_.reactor.timers,
-				"e1", 1, nullptr, &counters_);
+				"e1", 1, 3000, nullptr, &counters_);
 		host_.reset(new BatchHost(&loop_, &topics_, "e1"));
 		host_->configure(7);
 		host_->wait_ready();
