net: bound bytes that are no answer

Servers in trouble may send bytes that are no answer without end, in a head or a body, until the other side closes. Time ended all of these, but five of seventeen kinds were read at full speed until then: interim heads, answers to other requests, the body of such an answer, chunks that are mostly extension, and the body of a refusal, which was kept in memory too (540 MB came within the 800 ms of a request's time).

A call now takes 16 heads and 1 MB of body that are not its own, framing may take 16 KB and 16 bytes for each byte of body, and a refusal's body ends the try where others would be passed on.

t/test-endless plays all kinds against the port for callers and against items: the connection is closed in time, less than 4 MB of memory is held, the caller is answered, and the item is made by another engine.

--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -58,9 +58,12 @@
 	if (try->streaming)
 		return forward_stream(try, data, len);
 	strbuf_add(&try->body, data, len);
-	if (try->body.len > KEPT_BODY_BYTES && !try->answer.not_run &&
-	    !try->forward->begun)
-		forward_begin_stream(try);
+	if (try->body.len <= KEPT_BODY_BYTES)
+		return 0;
+	/* Of a refusal only the head is used, and others' answers go first. */
+	if (try->answer.not_run || try->forward->begun)
+		return -1;
+	forward_begin_stream(try);
 	return 0;
 }
 
--- a/net/http_reader.c
+++ b/net/http_reader.c
@@ -8,6 +8,13 @@
 /* http_parser's value for "no length in the head". */
 #define NO_LENGTH UINT64_MAX
 
+/*
+ * A chunk of one byte takes five bytes of framing; extensions and trailers
+ * that anybody uses fit into the rest.
+ */
+#define FRAMING_PER_BODY_BYTE 16
+#define FRAMING_FREE_BYTES 16384
+
 static struct http_reader *reader_of(http_parser *parser)
 {
 	return parser->data;
@@ -152,6 +159,7 @@
 {
 	struct http_reader *reader = reader_of(parser);
 
+	reader->body_bytes += len;
 	if (reader->vt->on_body(reader, data, len))
 		return fail(reader, HTTP_READER_STOPPED);
 	return 0;
@@ -200,16 +208,27 @@
 	reader->parser.data = reader;
 	http_head_reset(&reader->head);
 	reader->head_bytes = 0;
+	reader->body_bytes = 0;
+	reader->framing_bytes = 0;
 	reader->in_value = 0;
 	reader->began = 0;
 	reader->head_done = 0;
 	reader->failure = HTTP_READER_MORE;
 }
 
+/* Whether framing goes on without bringing a body. */
+static int is_mostly_framing(const struct http_reader *reader)
+{
+	return reader->framing_bytes >
+	       FRAMING_FREE_BYTES + FRAMING_PER_BODY_BYTE * reader->body_bytes;
+}
+
 enum http_reader_result http_reader_feed(struct http_reader *reader,
 					 const char *data, size_t len,
 					 size_t *used)
 {
+	uint64_t body_before = reader->body_bytes;
+	int in_head = !reader->head_done;
 	enum http_errno outcome;
 
 	*used = 0;
@@ -221,8 +240,12 @@
 	outcome = HTTP_PARSER_ERRNO(&reader->parser);
 	if (outcome == HPE_PAUSED)
 		return HTTP_READER_END;
+	if (!in_head)
+		reader->framing_bytes +=
+			*used - (reader->body_bytes - body_before);
 	if (outcome == HPE_OK)
-		return HTTP_READER_MORE;
+		return is_mostly_framing(reader) ? HTTP_READER_MALFORMED
+						 : HTTP_READER_MORE;
 	if (reader->failure != HTTP_READER_MORE)
 		return reader->failure;
 	if (outcome == HPE_HEADER_OVERFLOW)
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -11,7 +11,8 @@
  * Reads the HTTP/1.1 messages of one connection (http_parser), one message
  * at a time. Framing that two readers could understand in two ways is an
  * error: repeated or non-numeric lengths, a length beside a transfer coding,
- * a coding but chunked.
+ * a coding but chunked. So is framing without end (chunk extensions, trailers)
+ * beside little or no body.
  */
 enum http_reader_result {
 	HTTP_READER_MORE = 0, /* all was used, the message goes on */
@@ -39,6 +40,8 @@
 	int is_response;
 	int no_body; /* responses: the request was a HEAD */
 	int in_value; /* the last field bytes were a value's */
+	uint64_t body_bytes; /* of the present message, so far */
+	uint64_t framing_bytes; /* likewise: what is neither head nor body */
 	int began; /* bytes of the present message were read */
 	int head_done;
 	int keep_alive; /* of the last whole message */
--- a/net/net_client.c
+++ b/net/net_client.c
@@ -19,6 +19,13 @@
 #define SWEEP_PERIOD_NS (20 * NS_PER_S)
 /* How long before its stated end a kept connection is given up. */
 #define KEEP_MARGIN_NS (NS_PER_S / 2)
+/*
+ * Before the answer to a call, interim heads and answers to earlier requests
+ * may come; a sound server sends one or two. More of them, or a long body of
+ * another answer, are no answer.
+ */
+#define OTHER_HEADS_MAX 16
+#define SKIPPED_MAX_BYTES (1024 * 1024)
 
 enum link_state {
 	LINK_CONNECTING = 0,
@@ -35,6 +42,8 @@
 	struct timer timer; /* connect time-out, or the end of idleness */
 	enum link_state state;
 	int skipping; /* the present answer is another request's */
+	uint32_t other_heads; /* that came before the call's answer */
+	uint64_t skipped_bytes; /* of such answers */
 	int close_after;
 	int64_t idle_since_ns;
 	struct net_link *next; /* among the idle ones */
@@ -180,6 +189,11 @@
 	return container_of(reader, struct net_link, reader);
 }
 
+static int count_other_head(struct net_link *link)
+{
+	return ++link->other_heads > OTHER_HEADS_MAX ? -1 : 0;
+}
+
 static int on_head(struct http_reader *reader)
 {
 	struct net_link *link = link_of(reader);
@@ -188,7 +202,7 @@
 	link->skipping = 0;
 	if (reader->head.status < 200) {
 		link->skipping = 1;
-		return 0;
+		return count_other_head(link);
 	}
 	call->answer = &reader->head;
 	switch (call->vt->on_head(call)) {
@@ -198,7 +212,7 @@
 		link->skipping = 1;
 		link->close_after = 1;
 		call->answer = NULL;
-		return 0;
+		return count_other_head(link);
 	case NET_HEAD_REFUSE:
 		break;
 	}
@@ -209,8 +223,10 @@
 {
 	struct net_link *link = link_of(reader);
 
-	if (link->skipping)
-		return 0;
+	if (link->skipping) {
+		link->skipped_bytes += len;
+		return link->skipped_bytes > SKIPPED_MAX_BYTES ? -1 : 0;
+	}
 	return link->call->vt->on_body(link->call, data, len);
 }
 
@@ -267,6 +283,8 @@
 	struct net_call *call = link->call;
 
 	link->state = LINK_BUSY;
+	link->other_heads = 0;
+	link->skipped_bytes = 0;
 	link->reader.no_body = call->is_head_method;
 	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	bufferevent_write(link->bev, call->head, call->head_len);
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -68,6 +68,10 @@
 		       bool with_route = true,
 		       const std::string &reward_service = "r");
 	void wait_ready();
+	uint16_t port() const // for callers
+	{
+		return net_server_port(&server_);
+	}
 	const struct config_holder *config() const
 	{
 		return &config_;
--- /dev/null
+++ b/t/test-endless.cc
@@ -0,0 +1,245 @@
+// Servers that send bytes without end that are no answer, until the other
+// side closes: each is left in time, holds no memory, counts as failed, and
+// costs other requests nothing.
+#include <gtest/gtest.h>
+
+#include <malloc.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "lib-batch-host.h"
+#include "lib-listener.h"
+
+extern "C" {
+#include "base/alloc.h"
+}
+
+namespace
+{
+
+// Answers each request with `begin` and then `again`, without end.
+class EndlessServer
+{
+      public:
+	EndlessServer(const std::string &begin, const std::string &again)
+	    : begin_(begin)
+	{
+		while (again_.size() < 16384)
+			again_ += again;
+		listener_ = listen_on_loopback(16, &port_);
+		thread_ = std::thread([this] { serve(); });
+	}
+
+	~EndlessServer()
+	{
+		shutdown(listener_, SHUT_RDWR);
+		thread_.join();
+		close(listener_);
+	}
+
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(port_);
+	}
+
+	std::atomic<uint64_t> sent{ 0 };
+	std::atomic<int> closed{ 0 }; // by the other side
+
+      private:
+	void serve()
+	{
+		int fd;
+
+		while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+			char request[65536];
+
+			if (recv(fd, request, sizeof(request), 0) > 0 &&
+			    write_all(fd, begin_))
+				while (write_all(fd, again_))
+					sent += again_.size();
+			closed++;
+			close(fd);
+		}
+	}
+
+	static bool write_all(int fd, const std::string &bytes)
+	{
+		size_t at = 0;
+
+		while (at < bytes.size()) {
+			ssize_t len = send(fd, bytes.data() + at,
+					   bytes.size() - at, MSG_NOSIGNAL);
+
+			if (len <= 0)
+				return false;
+			at += (size_t)len;
+		}
+		return true;
+	}
+
+	std::string begin_, again_;
+	int listener_, port_;
+	std::thread thread_;
+};
+
+struct EndlessCase {
+	const char *name;
+	std::string begin, again;
+	bool is_stopped_early; // by its bytes, not by time alone
+};
+
+const std::string plain_head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\n"
+			       "X-Response-Stamp: s\r\n";
+const std::string chunked = plain_head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string events = plain_head + "Content-Type: text/event-stream\r\n"
+					"X-Weight-Versions: 1\r\n\r\n";
+
+const EndlessCase cases[] = {
+	{ "no HTTP at all", "", "hello ", true },
+	{ "line ends", "", "\r\n", true },
+	{ "interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n", true },
+	{ "answers to other requests", "",
+	  "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+	  "X-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
+	  true },
+	{ "the body of another answer",
+	  "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+	  "X-Response-Stamp: s\r\n\r\n",
+	  "x", true },
+	{ "a status line", "HTTP/1.1 200 ", "OK", true },
+	{ "header lines", plain_head, "A: b\r\n", true },
+	{ "a header value", plain_head + "A: ", "b", true },
+	{ "a chunk's size", chunked, "0", true },
+	{ "a chunk's extension", chunked + "5;", "x", true },
+	{ "extensions of tiny chunks", chunked,
+	  "1;" + std::string(1000, 'x') + "\r\ny\r\n", true },
+	{ "trailers", chunked + "2\r\nok\r\n0\r\n", "T: r\r\n", true },
+	{ "the body of a refusal",
+	  "HTTP/1.1 503 Full\r\nX-Attempt-Id: id1\r\nX-Not-Run: 1\r\n\r\n", "x",
+	  true },
+	{ "a body without a length", plain_head + "\r\n", "x", false },
+	{ "an event", events + "id: 1\ndata: ", "x", false },
+	{ "comments", events, ": x\n\n", false },
+	{ "bytes behind a whole answer",
+	  plain_head + "Content-Length: 2\r\n\r\nok", "x", true },
+};
+
+// Bytes that are allocated.
+int64_t heap_bytes()
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return (int64_t)(info.uordblks + info.hblkhd);
+}
+
+const int64_t memory_bound = 4 * 1024 * 1024;
+
+} // namespace
+
+// Single requests, by the port for callers. A body without end is passed on
+// as it comes, until the route's time is over.
+TEST(Endless, AnswersToSingleRequestsAreLeft)
+{
+	for (const EndlessCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		TestReactor loop;
+		FakeTopics topics(&loop.reactor.timers);
+		BatchHost host(&loop, &topics, "a");
+		EndlessServer server(c.begin, c.again);
+		struct server_entry entry;
+		int64_t before, after;
+		int64_t began_ns;
+
+		host.configure();
+		server_entry_init(&entry);
+		copy_text(entry.id, sizeof(entry.id), "e");
+		copy_text(entry.service, sizeof(entry.service), "s");
+		copy_text(entry.address, sizeof(entry.address),
+			  server.address().c_str());
+		copy_text(entry.data_centre, sizeof(entry.data_centre), "dc");
+		entry.slots = 4;
+		fleet_put(&host.fleet, &entry, 1);
+		host.wait_ready();
+		before = heap_bytes();
+		began_ns = reactor_now_ns(&loop.reactor);
+		RawCaller caller(host.port());
+		caller.send("POST /i/x HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+			    "X-Attempt-Id: id1\r\nX-Deadline-Ms: 800\r\n"
+			    "Content-Length: 0\r\n\r\n");
+		EXPECT_TRUE(loop.run_until([&] { return server.closed > 0; },
+					   3000));
+		EXPECT_LT(reactor_now_ns(&loop.reactor) - began_ns,
+			  1500 * NS_PER_MS);
+		if (c.is_stopped_early) {
+			EXPECT_LT((int64_t)server.sent, 8 * memory_bound);
+		}
+		/* The caller is answered, or sees that its answer breaks off.
+		 */
+		EXPECT_TRUE(loop.run_until(
+			[&] {
+				return http_is_whole(caller.received()) ||
+				       caller.is_closed();
+			},
+			3000));
+		after = heap_bytes() - (int64_t)caller.received().capacity();
+		EXPECT_LT(after, before + memory_bound);
+	}
+}
+
+// Items, whose engine is then left for another one.
+TEST(Endless, AnswersToItemsAreLeft)
+{
+	for (const EndlessCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		TestReactor loop;
+		FakeTopics topics(&loop.reactor.timers);
+		BatchHost host(&loop, &topics, "a");
+		EndlessServer server(c.begin, c.again);
+		struct server_entry entry;
+		Submission submission;
+		ReadAnswer answer;
+		int64_t before;
+
+		topics.log()->max_record_bytes = 65536;
+		topics.log()->max_append_bytes = 1000000;
+		submission.groups = submission.group_size = 1;
+		host.configure();
+		server_entry_init(&entry);
+		copy_text(entry.id, sizeof(entry.id), "e");
+		copy_text(entry.service, sizeof(entry.service), "s");
+		copy_text(entry.address, sizeof(entry.address),
+			  server.address().c_str());
+		copy_text(entry.data_centre, sizeof(entry.data_centre), "dc");
+		entry.slots = 4;
+		entry.models = (struct server_model *)xcalloc(
+			1, sizeof(*entry.models));
+		copy_text(entry.models[0].name, sizeof(entry.models[0].name),
+			  "m");
+		entry.models[0].version = 1;
+		entry.model_count = 1;
+		fleet_put(&host.fleet, &entry, 1);
+		host.wait_ready();
+		ASSERT_EQ(202, host.submit(submission));
+		before = heap_bytes();
+		EXPECT_TRUE(loop.run_until([&] { return server.closed > 0; },
+					   5000));
+		EXPECT_LT(heap_bytes(), before + memory_bound);
+		/* A sound engine makes the item. */
+		FakeServer sound(&loop, "f", [](const ServerSaw &) {
+			ServerReply r;
+
+			r.stream = true;
+			return r;
+		});
+		sound.join(&host.fleet, "s", "m");
+		ASSERT_TRUE(host.read_all(submission, &answer, 20000));
+		EXPECT_EQ("complete", answer.results[0].state);
+		EXPECT_EQ(fake_text(submission.item(0), 3),
+			  answer.results[0].text);
+	}
+}
