policy: load for steps that would find no engine first

Urgent loads and loads ahead now compete: the model that is worst off goes first, and a load ahead counts as if its step were half as badly off. As many engines load at once as the users' sheets bear (9 of 44, 10 of 48; it was rounded down). Two new cases of the table and the sheets' figures fail on the code before.

--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -20,12 +20,6 @@
 #define REFUSED_NS (300 * NS_PER_MS)
 /* A model whose batches stopped coming gives its engines up after this. */
 #define NEED_KEEPS_NS (30 * NS_PER_S)
-/*
- * Loads that run at once slow each other down; the platform bears about a
- * fifth of the engines, and two.
- */
-#define AT_ONCE_DENOMINATOR 5
-#define AT_ONCE_MIN 2
 
 enum engine_phase {
 	PHASE_IDLE = 0,
@@ -378,13 +372,11 @@
 static uint32_t loads_at_once(struct duty_engine *const *engines,
 			      uint32_t engine_count)
 {
-	uint32_t at_once = 0;
+	uint32_t dear = 0;
 
 	for (uint32_t i = 0; i < engine_count; i++)
-		at_once += !engines[i]->server->entry.cheap;
-	at_once /= AT_ONCE_DENOMINATOR;
-
-	return at_once < AT_ONCE_MIN ? AT_ONCE_MIN : at_once;
+		dear += !engines[i]->server->entry.cheap;
+	return version_plan_at_once(dear);
 }
 
 static void plan(struct version_duty *duty)
--- a/policy/version_plan.c
+++ b/policy/version_plan.c
@@ -7,6 +7,27 @@
  * part, in engines, so that shares don't swing with every step.
  */
 #define SURPLUS_TO_MOVE 0.6
+/*
+ * A load ahead waits until its model is this much worse off than one whose
+ * step is here: half of a share is what loads ahead at most.
+ */
+#define AHEAD_FACTOR 2.0
+
+/*
+ * The platform bears loads on a fifth of the engines at once, rounded to the
+ * nearest whole number, and on two (sheets of the users' deployments: 2 of 9,
+ * 2 of 11, 9 of 44, 10 of 48, 16 of 81).
+ */
+#define AT_ONCE_DENOMINATOR 5
+#define AT_ONCE_MIN 2
+
+uint32_t version_plan_at_once(uint32_t engine_count)
+{
+	uint32_t at_once =
+		(engine_count + AT_ONCE_DENOMINATOR / 2) / AT_ONCE_DENOMINATOR;
+
+	return at_once < AT_ONCE_MIN ? AT_ONCE_MIN : at_once;
+}
 
 static double total_tokens(const struct plan_model *models, uint32_t count)
 {
@@ -193,25 +214,14 @@
 	return loading;
 }
 
-/*
- * Of the models with an engine to load, the one whose steps have the fewest
- * engines for their tokens; -1 if there is none.
- */
-static int32_t hungriest(const struct plan_model *models, uint32_t count,
-			 const uint32_t *next, uint32_t engine_count,
-			 const uint32_t *fit)
-{
-	int32_t best = -1;
-
-	for (uint32_t m = 0; m < count; m++) {
-		if (!models[m].is_active || next[m] == engine_count)
-			continue;
-		if (best < 0 ||
-		    fit[m] * models[best].tokens < fit[best] * models[m].tokens)
-			best = (int32_t)m;
-	}
-	return best;
-}
+/* What may be loaded for one model, and what it has already. */
+struct load_demand {
+	uint32_t urgent; /* next engine too old for the newest step */
+	uint32_t ahead; /* next engine too old for the step after it */
+	uint32_t fit; /* engines for the newest step, loading ones too */
+	uint32_t fit_next; /* likewise, for the step after it */
+	int has_ahead; /* one of the round was given */
+};
 
 static uint32_t next_to_load(const struct plan_engine *engines, uint32_t count,
 			     uint32_t from, uint32_t model, uint64_t oldest)
@@ -221,73 +231,84 @@
 	return from;
 }
 
-/* Engines that are too old for the newest step of their model. */
-static uint32_t add_urgent(const struct plan_model *models,
-			   uint32_t model_count,
-			   const struct plan_engine *engines,
-			   uint32_t engine_count, uint32_t room,
-			   struct plan_load *out)
+static void view_demand(const struct plan_model *model, uint32_t index,
+			const struct plan_engine *engines, uint32_t count,
+			struct load_demand *out)
 {
-	uint32_t next[PLAN_MODELS_MAX];
-	uint32_t fit[PLAN_MODELS_MAX];
-	uint32_t count = 0;
+	uint64_t oldest = oldest_fit(model);
+	uint32_t loading = count_share_loading(index, engines, count);
 
-	for (uint32_t m = 0; m < model_count; m++) {
-		uint64_t oldest = oldest_fit(&models[m]);
+	out->urgent = next_to_load(engines, count, 0, index, oldest);
+	out->ahead = next_to_load(engines, count, 0, index, model->named);
+	out->fit = count_fit(index, engines, count, oldest) + loading;
+	out->fit_next = count_fit(index, engines, count, oldest + 1) + loading;
+	out->has_ahead = 0;
+}
 
-		next[m] = next_to_load(engines, engine_count, 0, m, oldest);
-		fit[m] = count_fit(m, engines, engine_count, oldest) +
-			 count_share_loading(m, engines, engine_count);
-	}
-	while (count < room) {
-		int32_t m =
-			hungriest(models, model_count, next, engine_count, fit);
+/*
+ * Whether the older part of a share that is all fit may load ahead, one engine
+ * at a time: the others run what there is.
+ */
+static int loads_ahead(const struct plan_model *model,
+		       const struct load_demand *demand, uint32_t engine_count)
+{
+	return model->lag && !demand->has_ahead && demand->fit > 1 &&
+	       demand->ahead < engine_count &&
+	       demand->fit_next < (demand->fit + 1) / 2;
+}
 
-		if (m < 0)
-			break;
-		out[count].engine = next[m];
-		out[count].model = (uint32_t)m;
-		count++;
-		fit[m]++;
-		next[m] = next_to_load(engines, engine_count, next[m] + 1,
-				       (uint32_t)m, oldest_fit(&models[m]));
-	}
-	return count;
+/*
+ * How well off the model is, in engines for its tokens; the one with the least
+ * loads next. A load ahead counts as if its step had more engines already:
+ * an urgent one goes first unless the step after would find almost none.
+ * Negative: there is nothing to load.
+ */
+static double supply(const struct plan_model *model,
+		     const struct load_demand *demand, uint32_t engine_count)
+{
+	if (!model->is_active)
+		return -1;
+	if (demand->urgent < engine_count)
+		return demand->fit / model->tokens;
+	if (loads_ahead(model, demand, engine_count))
+		return AHEAD_FACTOR * demand->fit_next / model->tokens;
+	return -1;
 }
 
-/* Whether the older half of a share that is all fit may load ahead. */
-static int loads_ahead(const struct plan_model *model, uint32_t index,
-		       const struct plan_engine *engines, uint32_t count)
+static int32_t hungriest(const struct plan_model *models, uint32_t count,
+			 const struct load_demand *demands,
+			 uint32_t engine_count)
 {
-	uint64_t oldest = oldest_fit(model);
-	uint32_t fit = count_fit(index, engines, count, oldest);
-	uint32_t fit_next = count_fit(index, engines, count, oldest + 1) +
-			    count_share_loading(index, engines, count);
+	double least = 0;
+	int32_t best = -1;
+
+	for (uint32_t m = 0; m < count; m++) {
+		double has = supply(&models[m], &demands[m], engine_count);
 
-	return model->is_active && model->lag && fit > 1 &&
-	       fit_next < (fit + 1) / 2;
+		if (has < 0 || (best >= 0 && has >= least))
+			continue;
+		best = (int32_t)m;
+		least = has;
+	}
+	return best;
 }
 
-static uint32_t add_ahead(const struct plan_model *models, uint32_t model_count,
-			  const struct plan_engine *engines,
-			  uint32_t engine_count, uint32_t room,
-			  struct plan_load *out)
+/* Takes the engine that the model loads next. */
+static uint32_t take_next(const struct plan_model *model, uint32_t index,
+			  const struct plan_engine *engines, uint32_t count,
+			  struct load_demand *demand)
 {
-	uint32_t count = 0;
+	uint32_t engine = demand->urgent;
 
-	for (uint32_t m = 0; m < model_count && count < room; m++) {
-		if (!loads_ahead(&models[m], m, engines, engine_count))
-			continue;
-		for (uint32_t i = 0; i < engine_count; i++) {
-			if (!can_load(&engines[i], m, models[m].named))
-				continue;
-			out[count].engine = i;
-			out[count].model = m;
-			count++;
-			break;
-		}
+	demand->fit_next++;
+	if (engine == count) {
+		demand->has_ahead = 1;
+		return demand->ahead;
 	}
-	return count;
+	demand->fit++;
+	demand->urgent = next_to_load(engines, count, engine + 1, index,
+				      oldest_fit(model));
+	return engine;
 }
 
 uint32_t version_plan_loads(const struct plan_model *models,
@@ -296,13 +317,22 @@
 			    uint32_t engine_count, uint32_t at_once,
 			    struct plan_load *out)
 {
+	struct load_demand demands[PLAN_MODELS_MAX];
 	uint32_t loading = count_loading(engines, engine_count);
-	uint32_t room = loading < at_once ? at_once - loading : 0;
-	uint32_t count = add_urgent(models, model_count, engines, engine_count,
-				    room, out);
-
-	/* Ahead only where nothing urgent waits. */
-	if (count)
-		return count;
-	return add_ahead(models, model_count, engines, engine_count, room, out);
+	uint32_t count = 0;
+
+	for (uint32_t m = 0; m < model_count; m++)
+		view_demand(&models[m], m, engines, engine_count, &demands[m]);
+	while (loading + count < at_once) {
+		int32_t m =
+			hungriest(models, model_count, demands, engine_count);
+
+		if (m < 0)
+			break;
+		out[count].engine = take_next(&models[m], (uint32_t)m, engines,
+					      engine_count, &demands[m]);
+		out[count].model = (uint32_t)m;
+		count++;
+	}
+	return count;
 }
--- a/policy/version_plan.h
+++ b/policy/version_plan.h
@@ -11,7 +11,9 @@
  * priced. So each model has its own share of the engines, by the tokens that
  * its steps need; engines whose weights are too old for the newest step load
  * the newest version at once; if all of a share are fit, the older half loads
- * ahead, so that the next step finds half of the share fit. Pure.
+ * ahead, so that the next step finds half of the share fit. Where more loads
+ * are due than may run at once, a model without any engine for its next step
+ * loads one before another model gets more for a step that has some. Pure.
  */
 #define PLAN_MODELS_MAX 32
 
@@ -36,6 +38,9 @@
 void version_plan_shares(const struct plan_model *models, uint32_t model_count,
 			 struct plan_engine *engines, uint32_t engine_count);
 
+/* How many of so many engines may load at once without slowing each other. */
+uint32_t version_plan_at_once(uint32_t engine_count);
+
 struct plan_load {
 	uint32_t engine;
 	uint32_t model;
--- a/t/test-policy-entry.cc
+++ b/t/test-policy-entry.cc
@@ -884,6 +884,20 @@
 		    loaded(1, { 1, 1 }) },
 		  2,
 		  { 3, 4 } },
+		{ "no engine for the next step comes before more for this",
+		  { model(3), model(2) },
+		  { loaded(0, { 3, 1 }), loaded(0, { 1, 1 }),
+		    loaded(0, { 1, 1 }), loaded(1, { 1, 1 }),
+		    loaded(1, { 1, 1 }) },
+		  2,
+		  { 3, 1 } },
+		{ "some for the next step: this one's first",
+		  { model(3), model(2) },
+		  { loaded(0, { 3, 1 }), loaded(0, { 1, 1 }),
+		    loaded(0, { 1, 1 }), loaded(1, { 1, 2 }),
+		    loaded(1, { 1, 1 }), loaded(1, { 1, 1 }) },
+		  1,
+		  { 1 } },
 		{ "an only engine does not load ahead",
 		  { model(2) },
 		  { loaded(0, { 1 }) },
@@ -916,6 +930,18 @@
 	}
 }
 
+TEST(VersionPlan, LoadsOnAsManyAtOnceAsThePlatformBears)
+{
+	const struct {
+		uint32_t engines, at_once;
+	} sheets[] = { { 1, 2 },  { 9, 2 },   { 11, 2 },
+		       { 44, 9 }, { 48, 10 }, { 81, 16 } };
+
+	for (const auto &sheet : sheets)
+		EXPECT_EQ(sheet.at_once, version_plan_at_once(sheet.engines))
+			<< sheet.engines;
+}
+
 // A long row of versions: every step finds at least one fit engine at once,
 // and there are no more loads than one a version for half of the engines.
 TEST(VersionPlan, KeepsHalfOfAShareFitWithHalfTheLoads)
