--- a/t/test-proof-duty-term.cc
+++ b/t/test-proof-duty-term.cc
@@ -39,14 +39,23 @@
 	TROUBLES
 };
 
+// What a struct duty_view holds, with hosts by number: small, since the search
+// copies the world for each state.
+struct View {
+	int holder; // -1: nobody
+	int64_t duration_ns;
+	int64_t read_ns;
+	std::array<int64_t, host_count> rest_until_ns; // 0: none
+};
+
 struct Claim {
-	struct duty_view said; // read_ns: when it was sent
+	View said; // read_ns: when it was sent
 	int fence;
 	int writer, life;
 };
 
 struct Host {
-	struct duty_view view;
+	View view;
 	int fence; // of the newest claim that it read
 	int holder_life;
 	int life; // of its process
@@ -83,6 +92,41 @@
 	return std::string(1, (char)('a' + host));
 }
 
+void write_name(int host, char *out)
+{
+	out[0] = host < 0 ? '\0' : (char)('a' + host);
+	out[1] = '\0';
+}
+
+struct duty_view to_duty_view(const View &view)
+{
+	struct duty_view out;
+
+	write_name(view.holder, out.holder);
+	out.duration_ns = view.duration_ns;
+	out.read_ns = view.read_ns;
+	duty_rests_clear(&out.rests);
+	for (int host = 0; host < host_count; host++) {
+		struct duty_rest *rest = &out.rests.list[out.rests.count];
+
+		if (!view.rest_until_ns[(size_t)host])
+			continue;
+		write_name(host, rest->host);
+		rest->until_ns = view.rest_until_ns[(size_t)host];
+		out.rests.count++;
+	}
+	return out;
+}
+
+void take_rests(const struct duty_view &from, View *view)
+{
+	view->rest_until_ns.fill(0);
+	for (uint32_t i = 0; i < from.rests.count; i++)
+		view->rest_until_ns[(size_t)(from.rests.list[i].host[0] -
+					     'a')] =
+			from.rests.list[i].until_ns;
+}
+
 // The search: depth first, with so many troubles on each way.
 class Search
 {
@@ -98,7 +142,7 @@
 
 		for (Host &host : world.hosts) {
 			host.pending = TROUBLES;
-			host.fence = -1;
+			host.fence = host.view.holder = -1;
 		}
 		world.last_fence = world.last_actor = world.actor_before = -1;
 		for (int64_t &at : world.fence_acted_ns)
@@ -181,20 +225,24 @@
 
 			host = {};
 			host.life = life;
-			host.fence = -1;
+			host.fence = host.view.holder = -1;
 			host.pending = TROUBLES;
 			host.view.read_ns = world.now_ns;
 			break;
 		}
-		default:
+		default: {
+			struct duty_view view = to_duty_view(host.view);
+
 			host.held_until_ns = 0;
 			/* Its calls end with it (duty_lease_release()). */
 			world.fence_acted_ns[(size_t)host.fence] -= call_ns;
-			duty_view_release(&host.view, &term_,
-					  name_of(at).c_str(), world.now_ns);
+			duty_view_release(&view, &term_, name_of(at).c_str(),
+					  world.now_ns);
+			take_rests(view, &host.view);
 			send(world, at, true);
 			break;
 		}
+		}
 	}
 
 	void land(World &world, const Claim &claim)
@@ -207,19 +255,21 @@
 	void send(World &world, int at, bool release)
 	{
 		Host &host = world.hosts[(size_t)at];
-		std::string name = name_of(at);
 		bool is_new = host.fence < 0 || !names_self(host, at);
 		Claim claim = {};
 		int trouble = host.pending;
 
-		if (!release)
-			duty_view_replace(&host.view, &term_, name.c_str(),
+		if (!release) {
+			struct duty_view view = to_duty_view(host.view);
+
+			duty_view_replace(&view, &term_, name_of(at).c_str(),
 					  world.now_ns);
+			take_rests(view, &host.view);
+		}
 		claim.said = host.view;
 		claim.said.read_ns = world.now_ns;
 		claim.said.duration_ns = term_.duration_ns;
-		copy_text(claim.said.holder, sizeof(claim.said.holder),
-			  release ? "" : name.c_str());
+		claim.said.holder = release ? -1 : at;
 		claim.fence = is_new ? world.log_count : host.fence;
 		claim.writer = at;
 		claim.life = host.life;
@@ -240,20 +290,19 @@
 
 	bool names_self(const Host &host, int at) const
 	{
-		return host.view.holder == name_of(at) &&
-		       host.holder_life == host.life;
+		return host.view.holder == at && host.holder_life == host.life;
 	}
 
 	// A claim was read, or is acknowledged.
 	void take(World &world, int at, const Claim &claim)
 	{
 		Host &host = world.hosts[(size_t)at];
-		struct duty_view view = claim.said;
+		View view = claim.said;
 
 		view.read_ns = world.now_ns;
-		for (uint32_t i = 0; i < view.rests.count; i++)
-			view.rests.list[i].until_ns +=
-				world.now_ns - claim.said.read_ns;
+		for (int64_t &until_ns : view.rest_until_ns)
+			if (until_ns)
+				until_ns += world.now_ns - claim.said.read_ns;
 		host.view = view;
 		host.fence = claim.fence;
 		host.holder_life = claim.life;
@@ -320,6 +369,14 @@
 		violations.push_back(text);
 	}
 
+	int64_t claim_at_ns(const Host &host, int at) const
+	{
+		struct duty_view view = to_duty_view(host.view);
+
+		return duty_view_claim_at(&view, name_of(at).c_str()) -
+		       margin_ns_;
+	}
+
 	void step_host(World &world, int at)
 	{
 		Host &host = world.hosts[(size_t)at];
@@ -337,9 +394,7 @@
 		    world.now_ns < host.cut_until_ns)
 			return;
 		if (!names_self(host, at) &&
-		    world.now_ns < duty_view_claim_at(&host.view,
-						      name_of(at).c_str()) -
-					   margin_ns_)
+		    world.now_ns < claim_at_ns(host, at))
 			return;
 		if (!host.sent_ns ||
 		    world.now_ns - host.sent_ns >= term_.renew_ns)
