batch: drop the list of running reward calls, which nobody reads

Each item points to its own call, and whoever ends calls goes by the items; the list and its links were written and never read. The pause after a call in vain had the name of a system call. The view of a result says by NULL, too, that it has no score, so it needn't be set twice.

Behaviour stays.

--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -168,7 +168,6 @@
 	view->id = item->id;
 	view->is_complete = item->state == BATCH_ITEM_COMPLETE;
 	view->text = "";
-	view->score = "";
 	view->versions = set->versions;
 	view->version_count = set->count;
 	if (!text->record ||
--- a/batch/reward_call.c
+++ b/batch/reward_call.c
@@ -29,9 +29,6 @@
 static void free_call(struct reward_call *call)
 {
 	timer_unsubscribe(&call->reactor->timers, &call->timer);
-	*call->at = call->next;
-	if (call->next)
-		call->next->at = call->at;
 	call->item->reward = NULL;
 	call->server->running--;
 	fleet_server_release(call->server);
@@ -135,11 +132,6 @@
 	call->server = fleet_server_hold(server);
 	call->reactor = reactor;
 	call->began_ns = reactor_now_ns(reactor);
-	call->next = owner->calls;
-	call->at = &owner->calls;
-	if (call->next)
-		call->next->at = &call->next;
-	owner->calls = call;
 	item->reward = call;
 	item->reward_calls++;
 	server->running++;
--- a/batch/reward_call.h
+++ b/batch/reward_call.h
@@ -25,7 +25,6 @@
 struct reward_call;
 
 struct reward_call_owner {
-	struct reward_call *calls; /* that run */
 	/* The call is over; it is freed afterwards. */
 	void (*ended)(struct reward_call_owner *owner, struct reward_call *call,
 		      enum reward_end end);
@@ -42,8 +41,6 @@
 	char *score; /* of the answer; NULL: none */
 	struct timer timer; /* the end of its time */
 	int64_t began_ns;
-	struct reward_call *next; /* of the owner */
-	struct reward_call **at;
 };
 
 /* The item's text is whole. */
--- a/batch/runner_rewards.c
+++ b/batch/runner_rewards.c
@@ -245,7 +245,7 @@
 }
 
 /* After each call in vain the next one is sent later. */
-static void pause(struct run_item *item, int64_t now_ns)
+static void wait_after_loss(struct run_item *item, int64_t now_ns)
 {
 	int64_t pause_ns = FIRST_PAUSE_NS;
 
@@ -290,7 +290,7 @@
 		runner_store_result(runner, item, BATCH_ITEM_GIVEN_UP,
 				    "failed_rewards");
 	else
-		pause(item, runner_now_ns(runner));
+		wait_after_loss(item, runner_now_ns(runner));
 }
 
 static void on_reward_ended(struct reward_call_owner *owner,
@@ -316,10 +316,10 @@
 		break;
 	case REWARD_LOST:
 		circuit_failed(circuit, &runner->rng, now_ns);
-		pause(call->item, now_ns);
+		wait_after_loss(call->item, now_ns);
 		break;
 	case REWARD_REJECTED:
-		pause(call->item, now_ns);
+		wait_after_loss(call->item, now_ns);
 		break;
 	}
 	report_ended(runner, call, end);
