t: write replies and entries of fake servers in one place

test-rewards had its own copies of the replies of test-batch-runner, and test-endless wrote a server's entry out twice, which lib-fake-engine does for its own servers. The library offers all three; assertions are unchanged.

--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -20,6 +20,26 @@
 	bool begun;
 };
 
+ServerReply stream_reply(int events, int interval_ms, uint64_t version)
+{
+	ServerReply r;
+
+	r.stream = true;
+	r.events = events;
+	r.interval_ms = interval_ms;
+	r.version = version;
+	return r;
+}
+
+ServerReply status_reply(int code, bool not_run)
+{
+	ServerReply r;
+
+	r.status = code;
+	r.not_run = not_run;
+	return r;
+}
+
 FakeServer::FakeServer(TestReactor *loop, const std::string &id,
 		       const Behaviour &behave)
     : behaviour(behave), loop_(loop), id_(id)
@@ -48,11 +68,11 @@
 	return "127.0.0.1:" + std::to_string(net_server_port(&server_));
 }
 
-// An entry of a server that may have one model; the fleet takes its memory.
-static void put_entry(struct fleet *fleet, uint64_t offset,
-		      const std::string &id, const std::string &address,
-		      const std::string &service, const std::string &model,
-		      uint64_t version, bool leaving, uint32_t slots)
+// The fleet takes the entry's memory.
+void put_server(struct fleet *fleet, uint64_t offset, const std::string &id,
+		const std::string &address, const std::string &service,
+		const std::string &model, uint64_t version, bool leaving,
+		uint32_t slots)
 {
 	struct server_entry entry;
 
@@ -78,8 +98,8 @@
 		      const std::string &model, uint64_t version, bool leaving,
 		      uint32_t slots)
 {
-	put_entry(fleet, ++offset_, id_, address(), service, model, version,
-		  leaving, slots);
+	put_server(fleet, ++offset_, id_, address(), service, model, version,
+		   leaving, slots);
 }
 
 void put_absent_servers(struct fleet *fleet, int count,
@@ -87,8 +107,8 @@
 			bool leaving)
 {
 	for (int i = 0; i < count; i++)
-		put_entry(fleet, 1, "absent" + std::to_string(i), "127.0.0.1:1",
-			  service, model, 1, leaving, 4);
+		put_server(fleet, 1, "absent" + std::to_string(i),
+			   "127.0.0.1:1", service, model, 1, leaving, 4);
 }
 
 static std::string field(const struct http_head *head, const char *name)
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -49,6 +49,10 @@
 	int new_version_at = -1; // event from which on it is version + 1
 };
 
+// A stream of so many events; an answer with this status.
+ServerReply stream_reply(int events, int interval_ms = 1, uint64_t version = 1);
+ServerReply status_reply(int code, bool not_run = false);
+
 // A backend server that speaks the platform's form, on a test's reactor.
 class FakeServer
 {
@@ -100,6 +104,12 @@
 	uint64_t offset_ = 0;
 };
 
+// Puts an entry of a server, which may have one model, into a fleet.
+void put_server(struct fleet *fleet, uint64_t offset, const std::string &id,
+		const std::string &address, const std::string &service,
+		const std::string &model = "", uint64_t version = 1,
+		bool leaving = false, uint32_t slots = 4);
+
 // Puts entries of servers into a fleet that nobody has started.
 void put_absent_servers(struct fleet *fleet, int count,
 			const std::string &service, const std::string &model,
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -14,26 +14,6 @@
 namespace
 {
 
-ServerReply stream(int events = 4, int interval_ms = 1, uint64_t version = 1)
-{
-	ServerReply r;
-
-	r.stream = true;
-	r.events = events;
-	r.interval_ms = interval_ms;
-	r.version = version;
-	return r;
-}
-
-ServerReply status(int code, bool not_run = false)
-{
-	ServerReply r;
-
-	r.status = code;
-	r.not_run = not_run;
-	return r;
-}
-
 class Batches : public ::testing::Test
 {
       protected:
@@ -125,7 +105,7 @@
 	EXPECT_EQ("body", body);
 	EXPECT_EQ(404, host->body("batch1", "none", &body));
 	EXPECT_EQ(0u, host->read("batch1").results.size());
-	add_engine("e", stream());
+	add_engine("e", stream_reply(4));
 	ASSERT_TRUE(host->read_all(submission, &answer));
 	expect_whole(submission, answer, 4);
 	EXPECT_EQ(std::vector<uint64_t>{ 1 }, answer.results[0].versions);
@@ -155,7 +135,7 @@
 	ReadAnswer answer;
 
 	put_absent_servers(&host->fleet, 300, "s", "other", false);
-	add_engine("e", stream());
+	add_engine("e", stream_reply(4));
 	ASSERT_EQ(202, host->submit(submission));
 	ASSERT_TRUE(host->read_all(submission, &answer));
 	expect_whole(submission, answer, 4);
@@ -180,7 +160,7 @@
 	add_host("a");
 	add_host("b");
 	BatchHost *host = hosts_[(size_t)GetParam()].get();
-	add_engine("e", stream());
+	add_engine("e", stream_reply(4));
 	topics_.faults = [&](const std::string &kind,
 			     const std::string &topic) {
 		if (kind == "append" && topic == "batch" && ++appends == 2)
@@ -205,7 +185,7 @@
 {
 	BatchHost *host = add_host("a");
 	Submission submission;
-	ServerReply large = stream(2);
+	ServerReply large = stream_reply(2);
 	std::vector<std::string> ids;
 	int answers = 0;
 
@@ -269,7 +249,7 @@
 
 std::function<ServerReply(int)> at_first(const ServerReply &reply)
 {
-	return [reply](int n) { return n < 2 ? reply : stream(); };
+	return [reply](int n) { return n < 2 ? reply : stream_reply(4); };
 }
 
 } // namespace
@@ -277,14 +257,14 @@
 // One engine of two fails in each way; the items come whole all the same.
 TEST_F(Batches, CompleteItemsWhateverOneEngineDoes)
 {
-	ServerReply cut_after = stream();
-	ServerReply torn = stream();
-	ServerReply silent = stream();
-	ServerReply gap = stream();
-	ServerReply old = stream(4, 1, 0);
-	ServerReply no_receipt = stream();
-	ServerReply wrong_id = stream();
-	ServerReply other = status(421, true);
+	ServerReply cut_after = stream_reply(4);
+	ServerReply torn = stream_reply(4);
+	ServerReply silent = stream_reply(4);
+	ServerReply gap = stream_reply(4);
+	ServerReply old = stream_reply(4, 1, 0);
+	ServerReply no_receipt = stream_reply(4);
+	ServerReply wrong_id = stream_reply(4);
+	ServerReply other = status_reply(421, true);
 	ServerReply cut;
 	ServerReply hang;
 
@@ -297,7 +277,7 @@
 	cut.cut = true;
 	hang.hang = true;
 	const RunCase cases[] = {
-		{ "sound", constant(stream()), 4 },
+		{ "sound", constant(stream_reply(4)), 4 },
 		{ "cut after two events", constant(cut_after), 5 },
 		{ "cut in an event", constant(torn), 5 },
 		{ "silent after an event", constant(silent), 5 },
@@ -307,8 +287,8 @@
 		{ "older weights than allowed", constant(old), 5 },
 		{ "no receipt", constant(no_receipt), 5 },
 		{ "another request's answer", constant(wrong_id), 5 },
-		{ "fails once", at_first(status(500)), 5 },
-		{ "is full", at_first(status(503, true)), 5 },
+		{ "fails once", at_first(status_reply(500)), 5 },
+		{ "is full", at_first(status_reply(503, true)), 5 },
 		{ "another engine has the address", constant(other), 5 },
 	};
 
@@ -323,7 +303,7 @@
 		add_engine("first", [&](const ServerSaw &) {
 			return c.behaviour(calls++);
 		});
-		add_engine("second", stream());
+		add_engine("second", stream_reply(4));
 		EXPECT_EQ(202, host->submit(submission));
 		EXPECT_TRUE(host->read_all(submission, &answer));
 		expect_whole(submission, answer, 4);
@@ -340,7 +320,7 @@
 	BatchHost *host = add_host("a");
 	Submission submission;
 	ReadAnswer answer;
-	ServerReply cut_after = stream(4, 1, 3);
+	ServerReply cut_after = stream_reply(4, 1, 3);
 
 	cut_after.cut_after = 2;
 	submission.groups = submission.group_size = 1;
@@ -349,7 +329,7 @@
 	ASSERT_TRUE(
 		loop_.run_until([&] { return engines_[0]->seen.size() == 1; }));
 	engines_[0]->join(&host->fleet, "s", "m", 3, true);
-	add_engine("second", stream(4, 1, 5), 5);
+	add_engine("second", stream_reply(4, 1, 5), 5);
 	ASSERT_TRUE(host->read_all(submission, &answer));
 	expect_whole(submission, answer, 4);
 	EXPECT_EQ((std::vector<uint64_t>{ 3, 5 }), answer.results[0].versions);
@@ -361,7 +341,7 @@
 	BatchHost *host = add_host("a");
 	Submission submission;
 	ReadAnswer answer;
-	ServerReply changes = stream(6, 1, 3);
+	ServerReply changes = stream_reply(6, 1, 3);
 
 	host->configure(2, ",\"single_version\":true");
 	submission.groups = submission.group_size = 1;
@@ -370,7 +350,7 @@
 	add_engine(
 		"only",
 		[&](const ServerSaw &) {
-			return calls++ ? stream(6, 1, 4) : changes;
+			return calls++ ? stream_reply(6, 1, 4) : changes;
 		},
 		3);
 	ASSERT_EQ(202, host->submit(submission));
@@ -395,11 +375,12 @@
 TEST_F(Batches, GiveUpOnlyWhatCannotBeDone)
 {
 	const GiveUpCase cases[] = {
-		{ "can never be done", status(422), "", false, 1 },
-		{ "fails each time", status(500), "", false, 2 },
-		{ "time is over", status(503, true), ",\"retention_s\":0.3",
-		  false, 1000 },
-		{ "the route is gone", status(503, true), "", true, 1000 },
+		{ "can never be done", status_reply(422), "", false, 1 },
+		{ "fails each time", status_reply(500), "", false, 2 },
+		{ "time is over", status_reply(503, true),
+		  ",\"retention_s\":0.3", false, 1000 },
+		{ "the route is gone", status_reply(503, true), "", true,
+		  1000 },
 	};
 
 	for (const GiveUpCase &c : cases) {
@@ -453,9 +434,9 @@
 
 	submission.groups = 10;
 	submission.group_size = 4;
-	add_engine("down", stream());
+	add_engine("down", stream_reply(4));
 	engines_.clear(); /* the entry stays */
-	add_engine("up", stream(20, 10));
+	add_engine("up", stream_reply(20, 10));
 	ASSERT_EQ(202, host->submit(submission));
 	ASSERT_TRUE(host->read_all(submission, &answer, 20000));
 	expect_whole(submission, answer, 20);
@@ -468,10 +449,10 @@
 	BatchHost *host = add_host("a");
 	Submission submission;
 
-	add_engine("first", stream(1000, 5));
+	add_engine("first", stream_reply(1000, 5));
 	ASSERT_EQ(202, host->submit(submission));
 	ASSERT_TRUE(loop_.run_until([&] { return engines_[0]->running == 4; }));
-	add_engine("second", stream(1000, 5));
+	add_engine("second", stream_reply(1000, 5));
 	engines_[0]->join(&host->fleet, "s", "m", 1, true);
 	ASSERT_TRUE(loop_.run_until([&] { return engines_[0]->running == 0; },
 				    400));
@@ -492,8 +473,8 @@
 
 	submission.groups = 4;
 	submission.length_hint = 60;
-	add_engine("slow", stream(30, 60));
-	add_engine("fast", stream(30, 12), 1, 12);
+	add_engine("slow", stream_reply(30, 60));
+	add_engine("fast", stream_reply(30, 12), 1, 12);
 	ASSERT_EQ(202, host->submit(submission));
 	ASSERT_TRUE(host->read_all(submission, &answer));
 	expect_whole(submission, answer, 30);
@@ -515,7 +496,7 @@
 	large.key = "k2";
 	large.groups = 20;
 	large.length_hint = 500;
-	add_engine("e", stream(10, 10));
+	add_engine("e", stream_reply(10, 10));
 	ASSERT_EQ(202, host->submit(large));
 	ASSERT_EQ(202, host->submit(small));
 	ASSERT_TRUE(host->read_all(small, &answer));
@@ -532,7 +513,7 @@
 	BatchHost *host = add_host("a");
 	Submission submission;
 	ReadAnswer answer;
-	ServerReply cut = stream(30, 10), anew = stream(30, 10, 2);
+	ServerReply cut = stream_reply(30, 10), anew = stream_reply(30, 10, 2);
 
 	cut.silent_after = 20;
 	anew.starts_over = true;
@@ -564,7 +545,7 @@
 	first.item_prefix = second.item_prefix = "shared";
 	second.id = "batch2";
 	second.step = 1;
-	add_engine("only", stream(8, 20));
+	add_engine("only", stream_reply(8, 20));
 	ASSERT_EQ(202, host->submit(first));
 	ASSERT_TRUE(loop_.run_until([&] {
 		const struct item_run *run = host->runner.run_owner.runs;
@@ -594,7 +575,7 @@
 		ReadAnswer answer;
 
 		submission.id = "batch-" + name;
-		add_engine("only", stream(40, 25));
+		add_engine("only", stream_reply(40, 25));
 		ASSERT_EQ(202, first->submit(submission));
 		ASSERT_TRUE(loop_.run_until([&] {
 			const struct item_run *run =
@@ -626,7 +607,7 @@
 	Submission submission;
 	ReadAnswer at_first, at_second;
 
-	add_engine("only", stream());
+	add_engine("only", stream_reply(4));
 	ASSERT_EQ(202, first->submit(submission));
 	ASSERT_EQ(202, second->submit(submission));
 	ASSERT_TRUE(second->read_all(submission, &at_second));
@@ -673,7 +654,7 @@
 		int status;
 
 		submission.id = "b" + std::to_string(&c - cases);
-		add_engine("only", stream());
+		add_engine("only", stream_reply(4));
 		topics_.faults = [&](const std::string &kind,
 				     const std::string &topic) {
 			if (kind != "append" ||
@@ -710,7 +691,7 @@
 	Submission submission;
 	ReadAnswer answer;
 
-	add_engine("only", stream());
+	add_engine("only", stream_reply(4));
 	ASSERT_EQ(202, host->submit(submission));
 	ASSERT_TRUE(host->read_all(submission, &answer));
 	for (Fault fault : { Fault::REFUSED, Fault::SILENT, Fault::LOST }) {
--- a/t/test-endless.cc
+++ b/t/test-endless.cc
@@ -15,10 +15,6 @@
 #include "lib-batch-host.h"
 #include "lib-listener.h"
 
-extern "C" {
-#include "base/alloc.h"
-}
-
 namespace
 {
 
@@ -151,19 +147,11 @@
 		FakeTopics topics(&loop.reactor.timers);
 		BatchHost host(&loop, &topics, "a");
 		EndlessServer server(c.begin, c.again);
-		struct server_entry entry;
 		int64_t before, after;
 		int64_t began_ns;
 
 		host.configure();
-		server_entry_init(&entry);
-		copy_text(entry.id, sizeof(entry.id), "e");
-		copy_text(entry.service, sizeof(entry.service), "s");
-		copy_text(entry.address, sizeof(entry.address),
-			  server.address().c_str());
-		copy_text(entry.data_centre, sizeof(entry.data_centre), "dc");
-		entry.slots = 4;
-		fleet_put(&host.fleet, &entry, 1);
+		put_server(&host.fleet, 1, "e", server.address(), "s");
 		host.wait_ready();
 		before = heap_bytes();
 		began_ns = reactor_now_ns(&loop.reactor);
@@ -200,7 +188,6 @@
 		FakeTopics topics(&loop.reactor.timers);
 		BatchHost host(&loop, &topics, "a");
 		EndlessServer server(c.begin, c.again);
-		struct server_entry entry;
 		Submission submission;
 		ReadAnswer answer;
 		int64_t before;
@@ -209,20 +196,7 @@
 		topics.log()->max_append_bytes = 1000000;
 		submission.groups = submission.group_size = 1;
 		host.configure();
-		server_entry_init(&entry);
-		copy_text(entry.id, sizeof(entry.id), "e");
-		copy_text(entry.service, sizeof(entry.service), "s");
-		copy_text(entry.address, sizeof(entry.address),
-			  server.address().c_str());
-		copy_text(entry.data_centre, sizeof(entry.data_centre), "dc");
-		entry.slots = 4;
-		entry.models = (struct server_model *)xcalloc(
-			1, sizeof(*entry.models));
-		copy_text(entry.models[0].name, sizeof(entry.models[0].name),
-			  "m");
-		entry.models[0].version = 1;
-		entry.model_count = 1;
-		fleet_put(&host.fleet, &entry, 1);
+		put_server(&host.fleet, 1, "e", server.address(), "s", "m");
 		host.wait_ready();
 		ASSERT_EQ(202, host.submit(submission));
 		before = heap_bytes();
--- a/t/test-rewards.cc
+++ b/t/test-rewards.cc
@@ -19,24 +19,6 @@
 namespace
 {
 
-ServerReply stream(int events = 3)
-{
-	ServerReply r;
-
-	r.stream = true;
-	r.events = events;
-	return r;
-}
-
-ServerReply status(int code, bool not_run = false)
-{
-	ServerReply r;
-
-	r.status = code;
-	r.not_run = not_run;
-	return r;
-}
-
 class Rewards : public ::testing::Test
 {
       protected:
@@ -136,7 +118,7 @@
 
 TEST_F(Rewards, AreAskedForAsSubmittedOnceTheTextIsWhole)
 {
-	FakeServer *engine = add_engine("e", stream());
+	FakeServer *engine = add_engine("e", stream_reply(3));
 	FakeServer *scorer = add_scorer("r1", ServerReply());
 	BatchHost *host = add_host("a");
 	std::set<std::string> asked;
@@ -192,12 +174,12 @@
 TEST_F(Rewards, ComeWhateverTheServersDoFirst)
 {
 	const FaultCase cases[] = {
-		{ "full", status(503, true), 5, 6 },
-		{ "too many", status(429, true), 5, 6 },
-		{ "its own failure, under the limit", status(500), 2, 3 },
-		{ "not found", status(404), 3, 4 },
-		{ "unprocessable", status(422), 3, 4 },
-		{ "its time was over", status(504), 2, 3 },
+		{ "full", status_reply(503, true), 5, 6 },
+		{ "too many", status_reply(429, true), 5, 6 },
+		{ "its own failure, under the limit", status_reply(500), 2, 3 },
+		{ "not found", status_reply(404), 3, 4 },
+		{ "unprocessable", status_reply(422), 3, 4 },
+		{ "its time was over", status_reply(504), 2, 3 },
 		{ "cut", with([](ServerReply *r) { r->cut = true; }), 2, 3 },
 		{ "no receipt",
 		  with([](ServerReply *r) { r->no_receipt = true; }), 2, 3 },
@@ -218,7 +200,7 @@
 
 		submission_.id = "b" + std::to_string(&c - cases);
 		submission_.groups = submission_.group_size = 1;
-		add_engine("e", stream());
+		add_engine("e", stream_reply(3));
 		add_scorer("r1", reply);
 		add_scorer("r2", reply);
 		ASSERT_EQ(202, host->submit(submission_));
@@ -238,8 +220,8 @@
 // an item be given up, as many as the call's route allows.
 TEST_F(Rewards, AreGivenUpAfterAsManyFailuresAsAllowed)
 {
-	add_engine("e", stream());
-	FakeServer *scorer = add_scorer("r1", status(500));
+	add_engine("e", stream_reply(3));
+	FakeServer *scorer = add_scorer("r1", status_reply(500));
 	BatchHost *host = add_host("a");
 	std::map<std::string, int> asked;
 	ReadAnswer answer;
@@ -262,7 +244,7 @@
 	ServerReply silent;
 
 	silent.hang = true;
-	add_engine("e", stream());
+	add_engine("e", stream_reply(3));
 	FakeServer *scorer = add_scorer("r1", silent);
 	BatchHost *host = add_host("a");
 	size_t seen;
@@ -303,9 +285,9 @@
 		ReadAnswer answer;
 
 		submission_.id = "b" + std::to_string(&c - cases);
-		FakeServer *engine = add_engine("e", stream());
+		FakeServer *engine = add_engine("e", stream_reply(3));
 		FakeServer *scorer = add_scorer("r1", [&](const ServerSaw &) {
-			return away ? status(503, true) : ServerReply();
+			return away ? status_reply(503, true) : ServerReply();
 		});
 
 		first = add_host("a", 1 + (uint64_t)(2 * (&c - cases)));
@@ -334,8 +316,8 @@
 // Calls go by the configuration that holds when they are sent.
 TEST_F(Rewards, FollowTheirRoute)
 {
-	add_engine("e", stream());
-	FakeServer *before = add_scorer("r1", status(503, true));
+	add_engine("e", stream_reply(3));
+	FakeServer *before = add_scorer("r1", status_reply(503, true));
 	FakeServer *after = add_scorer("r2", ServerReply(), "r2");
 	BatchHost *host = add_host("a");
 	ReadAnswer answer;
@@ -373,7 +355,7 @@
 	ServerReply leaving;
 
 	leaving.leaving = true;
-	add_engine("e", stream());
+	add_engine("e", stream_reply(3));
 	FakeServer *first = add_scorer("r1", leaving);
 	BatchHost *host = add_host("a");
 	ReadAnswer answer;
