discovery, duty: say what a newcomer would ask

tell() wrote a notice and set the timer, which its caller did again where a notice was still on its way; both now call one function, and the name says what is written. The tick of the lease looks at the expiry although a timer does: after a freeze the tick may be due first, and would renew a tenure that is over.

Behaviour stays.

--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -261,15 +261,19 @@
 
 static void on_timer(void *arg, int64_t at_ns);
 
-/* Writes a notice that tells when the next one comes. */
-static void tell(struct discovery *discovery)
+static void wait_for_next(struct discovery *discovery)
 {
-	int64_t period_ns = notice_period_ns(discovery);
+	timer_subscribe_once(discovery->follower.timers, &discovery->timer,
+			     notice_period_ns(discovery), on_timer, discovery);
+}
 
-	discovery->own.period_ms = (uint32_t)(period_ns / NS_PER_MS);
+/* Writes a notice that says when the next one comes. */
+static void write_periodic(struct discovery *discovery)
+{
+	discovery->own.period_ms =
+		(uint32_t)(notice_period_ns(discovery) / NS_PER_MS);
 	write_notice(discovery);
-	timer_subscribe_once(discovery->follower.timers, &discovery->timer,
-			     period_ns, on_timer, discovery);
+	wait_for_next(discovery);
 }
 
 static void on_timer(void *arg, int64_t at_ns)
@@ -278,12 +282,10 @@
 
 	host_table_sweep(&discovery->hosts, at_ns);
 	discovery->follower.pause_ns = read_pause_ns(discovery);
-	if (!discovery->pending) {
-		tell(discovery);
-		return;
-	}
-	timer_subscribe_once(discovery->follower.timers, &discovery->timer,
-			     notice_period_ns(discovery), on_timer, discovery);
+	if (discovery->pending)
+		wait_for_next(discovery);
+	else
+		write_periodic(discovery);
 }
 
 void discovery_init(struct discovery *discovery, struct topic_log *log,
@@ -344,7 +346,7 @@
 	if (discovery->own.partitions == partitions)
 		return;
 	discovery->own.partitions = partitions;
-	tell(discovery);
+	write_periodic(discovery);
 }
 
 void discovery_set_crashes(struct discovery *discovery,
--- a/duty/duty_lease.c
+++ b/duty/duty_lease.c
@@ -269,6 +269,7 @@
 {
 	struct duty_lease *lease = arg;
 
+	/* After a freeze this may be due before the expiry. */
 	on_expiry(lease, now_ns);
 	if (lease->in_flight || lease->releasing || !lease->follower.is_listed)
 		return;
