batch, fleet: list a service's servers once a round of calls

Each owed reward call walked the whole fleet for its service's servers, some 70 times in a burst and each 20 ms while calls wait. A round now lists the servers of a service once, and views those (64 at most) again before each choice, as runner_place does for engines. What each choice sees is the same.

--- a/batch/runner_rewards.c
+++ b/batch/runner_rewards.c
@@ -137,8 +137,36 @@
 	       engine_state_is_blocked(server->engine, "", *now_ns);
 }
 
-/* Returns 0 if no server has room for it. */
-static int place_call(struct batch_runner *runner, struct run_item *item)
+/* The servers of one service, as a round of placing calls sees them. */
+struct round_servers {
+	const char *service;
+	struct plain_servers list;
+	struct round_servers *next;
+};
+
+static struct plain_servers *get_servers(struct batch_runner *runner,
+					 struct round_servers **round,
+					 const char *service,
+					 const struct plain_chooser *chooser)
+{
+	struct round_servers *servers = *round;
+
+	while (servers && strcmp(servers->service, service))
+		servers = servers->next;
+	if (servers) {
+		plain_servers_refresh(&servers->list, chooser);
+		return &servers->list;
+	}
+	servers = xcalloc(1, sizeof(*servers));
+	servers->service = service;
+	servers->next = *round;
+	*round = servers;
+	plain_servers_list(&servers->list, runner->fleet, service, chooser);
+	return &servers->list;
+}
+
+static void place_call(struct batch_runner *runner, struct run_item *item,
+		       struct round_servers **round)
 {
 	const struct entry_route *route = reward_route(runner, item);
 	int64_t now_ns = runner_now_ns(runner);
@@ -149,23 +177,22 @@
 		.skips = refused_lately,
 		.arg = &now_ns,
 	};
-	struct plain_servers list;
+	struct plain_servers *list;
 	int32_t chosen;
 
 	if (!route || !route->target_count)
-		return 0;
-	plain_servers_list(&list, runner->fleet,
+		return;
+	list = get_servers(runner, round,
 			   entry_route_service(route, rng_unit(&runner->rng)),
 			   &chooser);
-	chosen = reward_turn_place(list.views, list.count,
+	chosen = reward_turn_place(list->views, list->count,
 				   now_ns - item->whole_ns, &runner->rng);
 	if (chosen < 0)
-		return 0;
-	reward_call_start(&runner->reward_owner, item, list.servers[chosen],
+		return;
+	reward_call_start(&runner->reward_owner, item, list->servers[chosen],
 			  runner->pool, runner->reactor, timeout_ns(route));
 	counter_add(runner->rewards_sent, 1);
 	report_sent(runner, item->reward);
-	return 1;
 }
 
 static uint32_t collect_batch(const struct batch_runner *runner,
@@ -214,6 +241,7 @@
 static void place_calls(struct batch_runner *runner)
 {
 	uint32_t scoring = count_scoring(runner);
+	struct round_servers *round = NULL;
 	struct owed_score *owed;
 	uint32_t count = 0;
 
@@ -225,7 +253,13 @@
 			count += collect_batch(runner, b, owed + count);
 	qsort(owed, count, sizeof(*owed), compare_owed);
 	for (uint32_t i = 0; i < count; i++)
-		place_call(runner, owed[i].item);
+		place_call(runner, owed[i].item, &round);
+	while (round) {
+		struct round_servers *next = round->next;
+
+		free(round);
+		round = next;
+	}
 	free(owed);
 	place_after(runner, POLL_NS);
 }
--- a/fleet/plain_servers.c
+++ b/fleet/plain_servers.c
@@ -5,6 +5,13 @@
 #include "base/hash.h"
 #include "policy/choice_sample.h"
 
+static int may_take(const struct fleet_server *server,
+		    const struct plain_chooser *chooser)
+{
+	return fleet_server_usable(server, chooser->now_ns) &&
+	       (!chooser->skips || !chooser->skips(chooser->arg, server));
+}
+
 static void view_server(const struct fleet_server *server,
 			const struct plain_chooser *chooser,
 			struct plain_server *view)
@@ -18,18 +25,10 @@
 	view->same_data_centre =
 		!strcmp(server->entry.data_centre, chooser->data_centre);
 	view->tried = 0;
-	view->usable = 1;
+	view->usable = may_take(server, chooser);
 	view->cold_left_ms = server->entry.cold_left_ms;
 }
 
-static int may_take(const struct fleet_server *server, const char *service,
-		    const struct plain_chooser *chooser)
-{
-	return !strcmp(server->entry.service, service) &&
-	       fleet_server_usable(server, chooser->now_ns) &&
-	       (!chooser->skips || !chooser->skips(chooser->arg, server));
-}
-
 void plain_servers_list(struct plain_servers *list, const struct fleet *fleet,
 			const char *service,
 			const struct plain_chooser *chooser)
@@ -41,7 +40,7 @@
 		uint64_t rank;
 		int32_t place;
 
-		if (!may_take(s, service, chooser))
+		if (strcmp(s->entry.service, service) || !may_take(s, chooser))
 			continue;
 		rank = hash_text(s->entry.id, chooser->sample_seed);
 		place = choice_sample_place(&sample, rank);
@@ -52,3 +51,10 @@
 	}
 	list->count = sample.count;
 }
+
+void plain_servers_refresh(struct plain_servers *list,
+			   const struct plain_chooser *chooser)
+{
+	for (uint32_t i = 0; i < list->count; i++)
+		view_server(list->servers[i], chooser, &list->views[i]);
+}
--- a/fleet/plain_servers.h
+++ b/fleet/plain_servers.h
@@ -29,4 +29,8 @@
 			const char *service,
 			const struct plain_chooser *chooser);
 
+/* Views the listed servers again, after one of them was sent a request. */
+void plain_servers_refresh(struct plain_servers *list,
+			   const struct plain_chooser *chooser);
+
 #endif
