t: let the client wait longer than the bound that is checked

ProofPoolFull.OneFewerIsTaken failed once, in a plain run beside a build: the call that was taken ended after 999 ms, and the bound is 1,000. Its client had a time-out of 1,000 ms. libcurl ends calls early: of 480 calls with that time-out to a listener that never answers, eight at a time, 262 ended before 1,000 ms, the earliest after 999.300 ms, and 10 measured under 1,000 in whole milliseconds, as the test measures.

The client now waits 1,010 ms. The bound stays: a call that is answered or cut before 1,000 ms fails as before.

--- a/t/test-proof-pool-full.cc
+++ b/t/test-proof-pool-full.cc
@@ -130,7 +130,8 @@
 {
 	fill(admitted - 1);
 	Ask next = rollout;
-	next.timeout_ms = 1000;
+	/* The client may end a call up to a millisecond before its time-out. */
+	next.timeout_ms = 1010;
 	Reply taken = ask(next);
 	EXPECT_EQ(0, taken.status) << taken.body;
 	EXPECT_GE(taken.took_ms, 1000);
