crashes: say why a crash is not counted and how a count is lost

Cause: for the report of a request that goes on crashing servers, the lines could not tell three hypotheses apart: a crash that is not seen, one that is seen and not counted, and a count that is lost again.

What is refused stays.

--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -101,6 +101,24 @@
 	record_end(&record);
 }
 
+/* A host's notice is the only copy of what it has counted. */
+static void report_lost_crashes(struct discovery *discovery,
+				const struct entry_host *known,
+				const struct entry_host *host)
+{
+	int64_t now = now_ns(discovery);
+	struct record record;
+
+	if (!known || known->incarnation == host->incarnation ||
+	    crash_list_is_empty(&known->crashes, now) ||
+	    !crash_list_is_empty(&host->crashes, now))
+		return;
+	record_begin(&record, discovery->log, "crashes", "lost");
+	record_text(&record, "name", host->name);
+	record_text(&record, "reason", "restarted");
+	record_end(&record);
+}
+
 static void report_malformed(struct discovery *discovery, const char *key,
 			     uint64_t offset)
 {
@@ -134,6 +152,7 @@
 		is_news = !known || known->incarnation != host.incarnation ||
 			  known->ready != host.ready ||
 			  known->leaving != host.leaving;
+		report_lost_crashes(discovery, known, &host);
 		host_table_put(&discovery->hosts, &host, now_ns(discovery));
 		if (is_news)
 			report(discovery, "notice", &host);
--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -57,7 +57,7 @@
 
 static void report(const struct crash_watch *watch, const char *event,
 		   uint64_t request, const char *id, const char *server,
-		   uint32_t crashes)
+		   uint32_t crashes, const char *reason)
 {
 	struct record record;
 	char hash[24];
@@ -68,6 +68,7 @@
 	record_text(&record, "request", hash);
 	record_text(&record, "server", server);
 	record_int(&record, "crashes", crashes);
+	record_text(&record, "reason", reason);
 	record_end(&record);
 }
 
@@ -85,7 +86,7 @@
 	if (sum.crashes < CRASHES_MAX)
 		return 0;
 	counter_add(watch->refused, 1);
-	report(watch, "refused", request, id, NULL, sum.crashes);
+	report(watch, "refused", request, id, NULL, sum.crashes, NULL);
 	return sum.last_ns + CRASH_MEMORY_NS - now_ns;
 }
 
@@ -94,16 +95,38 @@
 {
 	int64_t now_ns = clock_now_ns(watch->clock);
 
-	if (!crash_list_note(&watch->seen, request, now_ns))
+	if (!crash_list_note(&watch->seen, request, now_ns)) {
+		crash_watch_not_counted(watch, request, id, server,
+					"soon_after_another");
 		return;
+	}
 	counter_add(watch->crashes, 1);
 	report(watch, "suspected", request, id, server,
-	       crash_list_find(&watch->seen, request, now_ns)->crashes);
+	       crash_list_find(&watch->seen, request, now_ns)->crashes, NULL);
 	discovery_set_crashes(watch->discovery, &watch->seen);
 }
 
-void crash_watch_answered(struct crash_watch *watch, uint64_t request)
+void crash_watch_not_counted(struct crash_watch *watch, uint64_t request,
+			     const char *id, const char *server,
+			     const char *reason)
 {
-	if (crash_list_clear(&watch->seen, request))
-		discovery_set_crashes(watch->discovery, &watch->seen);
+	const struct crash_suspect *suspect = crash_list_find(
+		&watch->seen, request, clock_now_ns(watch->clock));
+
+	report(watch, "not_counted", request, id, server,
+	       suspect ? suspect->crashes : 0, reason);
+}
+
+void crash_watch_answered(struct crash_watch *watch, uint64_t request,
+			  const char *id, const char *server, uint16_t status)
+{
+	const struct crash_suspect *suspect = crash_list_find(
+		&watch->seen, request, clock_now_ns(watch->clock));
+	uint32_t crashes = suspect ? suspect->crashes : 0;
+
+	if (!crash_list_clear(&watch->seen, request))
+		return;
+	report(watch, "cleared", request, id, server, crashes,
+	       status >= 500 ? "failed_answer" : "answer");
+	discovery_set_crashes(watch->discovery, &watch->seen);
 }
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -39,7 +39,16 @@
 /* Whether this host suspects any request; else no answer clears one. */
 int crash_watch_suspects_any(const struct crash_watch *watch);
 
+/*
+ * A run ended without an answer, and is not taken for a crash. `reason` is a
+ * constant, for the log.
+ */
+void crash_watch_not_counted(struct crash_watch *watch, uint64_t request,
+			     const char *id, const char *server,
+			     const char *reason);
+
 /* A run came to an answer. */
-void crash_watch_answered(struct crash_watch *watch, uint64_t request);
+void crash_watch_answered(struct crash_watch *watch, uint64_t request,
+			  const char *id, const char *server, uint16_t status);
 
 #endif
