t: reproduce a request that goes on crashing servers

Change: t/test-proof-crashing-request starts real daemons before servers that end as processes do: all connections are reset, nobody listens for a second, then the server is back under its id with another start. One request ends each server that runs it and comes again at any host, in nine scenes: one host, many, three servers within one attempt, run once, a stream, the store away, hosts killed, 120 runs cut at once, servers that give a 500 in place of some runs. The daemon of the soak gets a file of its own and its links can go down, so that the test uses both.

--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -32,6 +32,8 @@
 		return "slow";
 	case LinkFault::RESET:
 		return "reset";
+	case LinkFault::DOWN:
+		return "down";
 	}
 	return "none";
 }
@@ -53,8 +55,13 @@
 	int fd = listen_on_loopback(256, &port_);
 
 	EXPECT_GE(fd, 0);
+	listen(fd);
+}
+
+void Proxy::listen(int fd)
+{
 	evutil_make_socket_nonblocking(fd);
-	listener_ = evconnlistener_new(loop->reactor.events, on_accept, this,
+	listener_ = evconnlistener_new(loop_->reactor.events, on_accept, this,
 				       LEV_OPT_CLOSE_ON_FREE, 0, fd);
 }
 
@@ -63,7 +70,8 @@
 	timer_unsubscribe(&loop_->reactor.timers, &timer_);
 	while (!pairs_.empty())
 		end(pairs_.front(), false);
-	evconnlistener_free(listener_);
+	if (listener_)
+		evconnlistener_free(listener_);
 }
 
 std::string Proxy::address() const
@@ -137,14 +145,21 @@
 void Proxy::set_fault(LinkFault fault)
 {
 	std::list<Pair *> pairs = pairs_;
+	bool resets = fault == LinkFault::RESET || fault == LinkFault::DOWN;
 
+	if (fault == LinkFault::DOWN && listener_) {
+		evconnlistener_free(listener_);
+		listener_ = nullptr;
+	} else if (fault != LinkFault::DOWN && !listener_) {
+		listen(listen_again(port_));
+	}
 	fault_ = fault;
 	timer_unsubscribe(&loop_->reactor.timers, &timer_);
 	if (fault == LinkFault::SLOW)
 		timer_subscribe(&loop_->reactor.timers, &timer_, SLOW_STEP_NS,
 				on_timer, this);
 	for (Pair *pair : pairs) {
-		if (fault == LinkFault::RESET)
+		if (resets)
 			end(pair, true);
 		else
 			apply(pair);
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -17,6 +17,7 @@
 	ONE_WAY, // requests pass, answers don't
 	SLOW, // each piece of an answer comes late
 	RESET, // what is open is reset, what is new too
+	DOWN, // what is open is reset, and nobody listens
 };
 
 const char *link_fault_name(LinkFault fault);
@@ -44,6 +45,7 @@
 	static void on_event(struct bufferevent *of, short what, void *arg);
 	static void on_timer(void *arg, int64_t now_ns);
 	void end(Pair *pair, bool reset);
+	void listen(int fd);
 	void apply(Pair *pair);
 	void pass(struct bufferevent *from, struct bufferevent *to);
 
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -1,12 +1,10 @@
 #include "soak/world.h"
 
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 static const int64_t FAULTS_FROM_MS = 1000;
 static const int64_t FAULTS_TO_MS = 7000;
@@ -15,14 +13,14 @@
 static const int64_t SETTLE_LIMIT_MS = 15000;
 static const int64_t ENTRY_TTL_MS = 1200;
 
-struct World::Daemon {
-	int number;
-	std::string name;
-	std::string ip;
-	std::unique_ptr<Proxy> link; // to the store
-	std::unique_ptr<Process> process;
-	std::string settings, output;
-	int starts = 0;
+struct World::Host {
+	Host(TestReactor *loop, const TempDir &dir, int number,
+	     const std::string &store)
+	    : daemon(loop, dir, number, store)
+	{
+	}
+
+	Daemon daemon;
 	bool expected = false; // to run
 	bool stopping = false;
 };
@@ -41,20 +39,9 @@
 
 	rng_init(&rng_, seed);
 	for (int i = 0; i < DAEMONS; i++) {
-		std::unique_ptr<Daemon> daemon(new Daemon());
-		std::ostringstream ip;
-
-		// Addresses of this process alone.
-		ip << "127." << 1 + getpid() / 250 % 250 << "."
-		   << 1 + getpid() % 250 << "." << 10 + i;
-		daemon->number = i;
-		daemon->name = "d" + std::to_string(i);
-		daemon->ip = ip.str();
-		daemon->link.reset(new Proxy(&loop_, store_.address()));
-		daemon->settings = dir_.file(daemon->name + ".json");
-		daemon->output = dir_.file(daemon->name + ".log");
-		addresses.push_back(daemon->ip + ":8405");
-		daemons_.push_back(std::move(daemon));
+		hosts_.emplace_back(
+			new Host(&loop_, dir_, i, store_.address()));
+		addresses.push_back(hosts_.back()->daemon.callers());
 		weather_.disturbed_until_ms.push_back(-10000);
 		weather_.stopping_since_ms.push_back(-1);
 	}
@@ -70,8 +57,8 @@
 World::~World()
 {
 	callers_.reset();
-	for (auto &daemon : daemons_)
-		daemon->process.reset();
+	for (auto &host : hosts_)
+		host->daemon.process.reset();
 }
 
 void World::configure()
@@ -142,53 +129,22 @@
 
 void World::start_daemon(int number, bool first)
 {
-	Daemon *daemon = daemons_[(size_t)number].get();
-	std::string listen = "\"" + daemon->ip + ":84";
-	std::ofstream out(daemon->settings);
-
-	out << "{\"node\":\"" << daemon->name
-	    << "\",\"zone\":\"z\",\"region\":\"r\",\"first_start\":"
-	    << (first ? "true" : "false") << ",\"heartbeat_ms\":1200"
-	    << ",\"listen\":{\"front\":" << listen
-	    << "05\",\"ready\":" << listen << "06\",\"control\":" << listen
-	    << "07\",\"directory\":" << listen << "04\"}"
-	    << ",\"limits\":{\"cpu_share\":1,\"cores\":1,"
-	       "\"memory_mb\":280,\"max_fds\":4000}"
-	    << ",\"bounds\":{\"grace_s\":3,\"lease_ms\":1500,"
-	       "\"report_window_s\":2,\"usage_late_s\":4,\"ttl_max_s\":5,"
-	       "\"status_s\":120,\"settle_ms\":1000,\"cancel_ms\":3000,"
-	       "\"ack_ms\":4000}"
-	    << ",\"platform\":{\"addr\":\"" << daemon->link->address()
-	    << "\",\"form\":\"log\",\"writes_per_s\":800,"
-	       "\"reads_per_s\":2000,\"parts\":12,"
-	       "\"record_bytes\":262144,\"call_bytes\":2097152,"
-	       "\"retention_s\":300}"
-	    << ",\"cloud\":{\"addr\":\"" << daemon->link->address()
-	    << "\",\"duties\":[\"metering\"],\"duty_per_s\":50}}";
-	out.close();
-	daemon->process.reset(new Process());
-	daemon->starts++;
-	daemon->process->start(
-		{ built_program("currant-entryd"), daemon->settings },
-		daemon->output + "." + std::to_string(daemon->starts));
-	daemon->expected = true;
-	daemon->stopping = false;
+	Host *host = hosts_[(size_t)number].get();
+
+	host->daemon.start(first);
+	host->expected = true;
+	host->stopping = false;
 	weather_.stopping_since_ms[(size_t)number] = -1;
-	history_.note("daemon " + daemon->name + " starts");
+	history_.note("daemon " + host->daemon.name + " starts");
 }
 
 bool World::wait_ready()
 {
 	return loop_.run_until(
 		[this] {
-			for (auto &daemon : daemons_) {
-				std::string text =
-					read_file(daemon->output + ".1");
-
-				if (text.find("event=ready") ==
-				    std::string::npos)
+			for (auto &host : hosts_)
+				if (!host->daemon.is_ready())
 					return false;
-			}
 			return true;
 		},
 		20000);
@@ -215,14 +171,15 @@
 
 void World::plan_daemon(int64_t at_ms, int number)
 {
-	Daemon *daemon = daemons_[(size_t)number].get();
+	Host *host = hosts_[(size_t)number].get();
+	Daemon *daemon = &host->daemon;
 	int64_t for_ms = between(&rng_, 200, 2500);
 
 	switch (between(&rng_, 0, 5)) {
 	case 0:
 		add(at_ms, "kill " + daemon->name, [=] {
 			disturb(number, for_ms);
-			daemon->expected = false;
+			host->expected = false;
 			daemon->process->kill();
 		});
 		add(at_ms + for_ms, "restart " + daemon->name, [=] {
@@ -245,8 +202,8 @@
 		add(at_ms, "term " + daemon->name, [=] {
 			weather_.stopping_since_ms[(size_t)number] =
 				history_.now_ms();
-			daemon->stopping = true;
-			daemon->expected = false;
+			host->stopping = true;
+			host->expected = false;
 			if (daemon->process->running())
 				daemon->process->signal(SIGTERM);
 		});
@@ -354,16 +311,16 @@
 void World::plan_power_loss(int64_t at_ms)
 {
 	add(at_ms, "all daemons lose power", [=] {
-		for (auto &daemon : daemons_) {
-			disturb(daemon->number, 400);
-			daemon->expected = false;
-			daemon->process->kill();
+		for (auto &host : hosts_) {
+			disturb(host->daemon.number, 400);
+			host->expected = false;
+			host->daemon.process->kill();
 		}
 	});
 	add(at_ms + 400, "all daemons start", [=] {
-		for (auto &daemon : daemons_)
-			if (!daemon->process->running())
-				start_daemon(daemon->number, false);
+		for (auto &host : hosts_)
+			if (!host->daemon.process->running())
+				start_daemon(host->daemon.number, false);
 	});
 }
 
@@ -394,15 +351,17 @@
 // A daemon that was stopped starts again; none ends by itself.
 void World::look_after_daemons()
 {
-	for (auto &daemon : daemons_) {
+	for (auto &host : hosts_) {
+		Daemon *daemon = &host->daemon;
+
 		if (daemon->process->running())
 			continue;
-		if (daemon->expected) {
+		if (host->expected) {
 			history_.violation("ENDED: " + daemon->name +
 					   " ended by itself");
 			disturb(daemon->number, 0);
 		}
-		if (daemon->expected || daemon->stopping)
+		if (host->expected || host->stopping)
 			start_daemon(daemon->number, false);
 	}
 }
@@ -472,12 +431,9 @@
 {
 	std::filesystem::create_directories(folder);
 	history_.write(folder + "/history");
-	for (const auto &daemon : daemons_)
-		for (int i = 1; i <= daemon->starts; i++)
-			std::filesystem::copy_file(
-				daemon->output + "." + std::to_string(i),
-				folder + "/" + daemon->name + "." +
-					std::to_string(i),
-				std::filesystem::copy_options::
-					overwrite_existing);
+	for (const auto &host : hosts_)
+		for (int i = 1; i <= host->daemon.starts; i++)
+			std::ofstream(folder + "/" + host->daemon.name + "." +
+				      std::to_string(i))
+				<< host->daemon.output(i);
 }
--- a/soak/world.h
+++ b/soak/world.h
@@ -8,10 +8,9 @@
 #include <vector>
 
 #include "soak/callers.h"
-#include "soak/proxy.h"
+#include "soak/daemon.h"
 #include "soak/store_standin.h"
 #include "t/lib-fake-engine.h"
-#include "t/lib-process.h"
 
 // Daemons as processes of their own, and all that is outside of them.
 class World
@@ -35,7 +34,7 @@
 	}
 
       private:
-	struct Daemon;
+	struct Host;
 	struct Engine;
 	struct Fault {
 		int64_t at_ms;
@@ -68,7 +67,7 @@
 	History history_;
 	StoreStandin store_;
 	Weather weather_;
-	std::vector<std::unique_ptr<Daemon>> daemons_;
+	std::vector<std::unique_ptr<Host>> hosts_;
 	std::vector<std::unique_ptr<Engine>> engines_;
 	std::unique_ptr<Callers> callers_;
 	std::vector<Fault> faults_;
--- a/t/lib-listener.cc
+++ b/t/lib-listener.cc
@@ -20,3 +20,21 @@
 	*port = ntohs(address.sin_port);
 	return fd;
 }
+
+int listen_again(int port)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_in address = {};
+	int on = 1;
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)port);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
+	    listen(fd, SOMAXCONN)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
--- a/t/lib-listener.h
+++ b/t/lib-listener.h
@@ -5,4 +5,7 @@
 // descriptor, or -1.
 int listen_on_loopback(int backlog, int *port);
 
+// Listens at a port of loopback that was listened at before.
+int listen_again(int port);
+
 #endif
--- /dev/null
+++ b/t/test-proof-crashing-request.cc
@@ -0,0 +1,454 @@
+// Promise: a request under which three servers have ended reaches servers in
+// three more attempts at most, whatever host it comes to. Daemons are
+// processes; servers end as processes do, with all their connections.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "soak/daemon.h"
+#include "soak/store_standin.h"
+#include "t/lib-fake-engine.h"
+
+extern "C" {
+#include "net/net_client.h"
+}
+
+namespace
+{
+
+const int64_t CONTACT_MS = 3000; // the platform's bound
+const size_t LATE_ATTEMPTS_MAX = 3; // likewise
+const int64_t DOWN_MS = 1000; // a server that has ended
+const int64_t BAD_PERIOD_MS = 300;
+const int64_t SOUND_PERIOD_MS = 15;
+const int64_t SEND_FOR_MS = 4000; // after the bound
+const int64_t LIMIT_MS = 20000; // for three servers to end
+
+struct SceneCase {
+	const char *name;
+	char kind; // of the request: i repeatable, o once, r stream
+	int max_attempts;
+	int daemons;
+	bool store_away; // for a while, from the first end on
+	bool daemons_killed; // all of them, once three servers have ended
+	int long_runs; // sound requests that every server runs when it ends
+	bool half_sound; // some answers are 500, of requests that did not run
+};
+
+class Scene
+{
+      public:
+	explicit Scene(const SceneCase &c);
+	~Scene();
+
+	bool start();
+	// Sends the request until it has had all chances to reach servers.
+	void play();
+	std::set<std::string> late_attempts() const;
+	// The hosts' lines about crashes, without what repeats itself.
+	std::string crash_lines() const;
+	size_t ends() const
+	{
+		return ends_ms_.size();
+	}
+	// Part of the sound requests that were answered since the bound.
+	double sound_share() const;
+
+      private:
+	struct Server {
+		std::unique_ptr<FakeServer> server;
+		std::unique_ptr<Proxy> link;
+		struct timer timer = {};
+		Scene *scene;
+		int64_t born_ms = 1;
+		bool ending = false;
+	};
+	struct Call;
+	struct CallHooks;
+
+	void configure();
+	void enter(Server *server);
+	ServerReply run(Server *server, const ServerSaw &saw);
+	void send(const std::string &path, const std::string &id, int daemon);
+	void finish(Call *call, int status);
+	void step();
+	void disturb();
+	int64_t bound_ms() const;
+	void run_until_ms(int64_t at_ms);
+	static void on_end(void *arg, int64_t);
+	static void on_back(void *arg, int64_t);
+	int64_t now_ms() const
+	{
+		return history_.now_ms();
+	}
+
+	const SceneCase &case_;
+	TempDir dir_;
+	TestReactor loop_;
+	History history_;
+	StoreStandin store_;
+	struct net_pool pool_;
+	std::vector<std::unique_ptr<Daemon>> daemons_;
+	std::vector<std::unique_ptr<Server>> servers_;
+	std::set<Call *> calls_;
+	std::vector<int64_t> ends_ms_;
+	std::map<std::string, int64_t> bad_ms_; // last arrival of an attempt
+	int64_t touch_ms_ = 0; // the hosts are in touch from then on
+	int64_t next_bad_ms_ = 0, next_sound_ms_ = 0;
+	int next_ = 0;
+	int long_running_ = 0;
+	struct rng rng_;
+	uint32_t sound_ok_ = 0, sound_failed_ = 0;
+};
+
+struct Scene::Call {
+	struct net_call net = {};
+	Scene *scene;
+	std::string address, head;
+	bool sound, is_long;
+	int status = 0;
+	int64_t sent_ms;
+};
+
+struct Scene::CallHooks {
+	static enum net_head_verdict on_head(struct net_call *net)
+	{
+		((Call *)net)->status = net->answer->status;
+		return NET_HEAD_TAKE;
+	}
+
+	static int on_body(struct net_call *, const char *, size_t)
+	{
+		return 0;
+	}
+
+	static void on_done(struct net_call *net, enum net_outcome outcome)
+	{
+		Call *call = (Call *)net;
+
+		call->scene->finish(call,
+				    outcome == NET_ANSWERED ? call->status : 0);
+	}
+};
+
+Scene::Scene(const SceneCase &c)
+    : case_(c), history_(&loop_.reactor), store_(&loop_, &history_)
+{
+	struct net_pool_settings settings = test_pool_settings();
+
+	net_pool_init(&pool_, &loop_.reactor, &settings);
+	rng_init(&rng_, 19);
+	for (int i = 0; i < c.daemons; i++)
+		daemons_.emplace_back(
+			new Daemon(&loop_, dir_, i, store_.address()));
+	for (int i = 0; i < 6; i++) {
+		Server *server = new Server();
+
+		servers_.emplace_back(server);
+		server->scene = this;
+		server->server.reset(
+			new FakeServer(&loop_, "s" + std::to_string(i),
+				       [this, server](const ServerSaw &saw) {
+					       return run(server, saw);
+				       }));
+		server->link.reset(
+			new Proxy(&loop_, server->server->address()));
+		enter(server);
+	}
+	configure();
+}
+
+Scene::~Scene()
+{
+	while (!calls_.empty()) {
+		Call *call = *calls_.begin();
+
+		net_call_cancel(&call->net);
+		calls_.erase(call);
+		delete call;
+	}
+	for (auto &server : servers_)
+		timer_unsubscribe(&loop_.reactor.timers, &server->timer);
+	net_pool_finish(&pool_);
+	daemons_.clear();
+}
+
+void Scene::configure()
+{
+	std::string attempts = std::to_string(case_.max_attempts);
+	auto route = [&](const char *path, const char *type) {
+		return std::string("{\"name\":\"") + path +
+		       "\",\"host\":\"h\",\"path_prefix\":\"/" + path +
+		       "/\",\"type\":\"" + type +
+		       "\",\"resumable\":true,\"timeout_ms\":3000,"
+		       "\"goal_ms\":300,\"max_attempts\":" +
+		       attempts + ",\"service\":\"p\"}";
+	};
+
+	store_.topics.put(
+		"keyed.op", "config",
+		"{\"version\":1,\"routes\":[" + route("i", "idempotent") + "," +
+			route("o", "non_idempotent") + "," +
+			route("r", "stream") +
+			"],\"services\":[{\"name\":\"p\"}],\"limits\":{"
+			"\"max_header_bytes\":4000,\"max_body_bytes\":1000000,"
+			"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+			"\"tenants\":[{\"name\":\"red\",\"api_keys\":[\"k1\"]}"
+			"]}");
+}
+
+void Scene::enter(Server *server)
+{
+	store_.topics.put("keyed.servers", server->server->id(),
+			  "{\"service\":\"p\",\"addr\":\"" +
+				  server->link->address() +
+				  "\",\"zone\":\"z\",\"version\":\"v1\","
+				  "\"slots\":64,\"state\":\"ready\","
+				  "\"cold_left_ms\":0,\"models\":[],\"seq\":1,"
+				  "\"born\":" +
+				  std::to_string(server->born_ms) + "}");
+}
+
+void Scene::on_end(void *arg, int64_t)
+{
+	Server *server = (Server *)arg;
+	Scene *scene = server->scene;
+
+	scene->ends_ms_.push_back(scene->now_ms());
+	server->link->set_fault(LinkFault::DOWN);
+	timer_subscribe_once(&scene->loop_.reactor.timers, &server->timer,
+			     DOWN_MS * NS_PER_MS, on_back, server);
+}
+
+void Scene::on_back(void *arg, int64_t)
+{
+	Server *server = (Server *)arg;
+
+	server->link->set_fault(LinkFault::NONE);
+	server->ending = false;
+	server->born_ms++;
+	server->scene->enter(server);
+}
+
+ServerReply Scene::run(Server *server, const ServerSaw &saw)
+{
+	ServerReply reply;
+
+	reply.delay_ms = 5;
+	if (saw.target.find("/bad") == std::string::npos) {
+		if (saw.target.find("/long") != std::string::npos)
+			reply.delay_ms = 2500;
+		return reply;
+	}
+	bad_ms_[saw.id] = now_ms();
+	if (case_.half_sound && rng_unit(&rng_) < 0.4) {
+		reply.status = 500;
+		return reply;
+	}
+	reply.hang = true;
+	if (!server->ending)
+		timer_subscribe_once(&loop_.reactor.timers, &server->timer,
+				     NS_PER_MS, on_end, server);
+	server->ending = true;
+	return reply;
+}
+void Scene::send(const std::string &path, const std::string &id, int daemon)
+{
+	static const struct net_call_vtable vtable = { CallHooks::on_head,
+						       CallHooks::on_body,
+						       CallHooks::on_done };
+	Call *call = new Call();
+
+	call->scene = this;
+	call->sound = path.find("/bad") == std::string::npos;
+	call->is_long = path.find("/long") != std::string::npos;
+	call->sent_ms = now_ms();
+	call->address = daemons_[(size_t)daemon]->callers();
+	call->head = "POST " + path +
+		     " HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+		     "X-Attempt-Id: " +
+		     id +
+		     "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\n";
+	call->net.vt = &vtable;
+	call->net.address = call->address.c_str();
+	call->net.head = call->head.data();
+	call->net.head_len = call->head.size();
+	call->net.body = "body";
+	call->net.body_len = 4;
+	calls_.insert(call);
+	long_running_ += call->is_long;
+	net_call_start(&pool_, &call->net);
+}
+
+void Scene::finish(Call *call, int status)
+{
+	if (call->sound && !call->is_long && call->sent_ms >= bound_ms())
+		(status == 200 ? sound_ok_ : sound_failed_)++;
+	long_running_ -= call->is_long;
+	calls_.erase(call);
+	delete call;
+}
+
+int64_t Scene::bound_ms() const
+{
+	int64_t third_ms = ends_ms_.size() < 3 ? INT64_MAX / 2 : ends_ms_[2];
+
+	// What was told before the hosts were killed they know as they start.
+	if (case_.daemons_killed)
+		return touch_ms_ ? touch_ms_ : INT64_MAX / 2;
+	return std::max(third_ms, touch_ms_) + CONTACT_MS;
+}
+
+bool Scene::start()
+{
+	for (auto &daemon : daemons_)
+		daemon->start(true);
+	return loop_.run_until(
+		[this] {
+			for (auto &daemon : daemons_)
+				if (!daemon->is_ready())
+					return false;
+			return true;
+		},
+		20000);
+}
+
+// Callers come at any host; their connections stay open.
+void Scene::step()
+{
+	int daemon = (int)rng_below(&rng_, daemons_.size());
+	std::string id = std::to_string(next_++);
+
+	loop_.run_for(5);
+	if (now_ms() >= next_sound_ms_) {
+		next_sound_ms_ = now_ms() + SOUND_PERIOD_MS;
+		send("/i/ok" + id, "ok" + id, daemon);
+	}
+	if (long_running_ < case_.long_runs)
+		send("/i/long" + id, "long" + id, daemon);
+	if (now_ms() >= next_bad_ms_) {
+		next_bad_ms_ = now_ms() + BAD_PERIOD_MS;
+		send(std::string("/") + case_.kind + "/bad", "bad" + id,
+		     daemon);
+	}
+}
+
+void Scene::run_until_ms(int64_t at_ms)
+{
+	while (now_ms() < at_ms)
+		step();
+}
+
+void Scene::disturb()
+{
+	if (case_.store_away)
+		for (auto &daemon : daemons_)
+			daemon->link->set_fault(LinkFault::SILENT);
+	if (case_.daemons_killed)
+		for (auto &daemon : daemons_)
+			daemon->process->kill();
+	run_until_ms(now_ms() + 1500);
+	for (auto &daemon : daemons_) {
+		daemon->link->set_fault(LinkFault::NONE);
+		if (case_.daemons_killed)
+			daemon->start(false);
+	}
+	touch_ms_ = now_ms();
+}
+
+void Scene::play()
+{
+	size_t ends_before = case_.store_away ? 1 : 3;
+	int64_t limit_ms;
+
+	// Connections to servers are kept by then.
+	next_bad_ms_ = now_ms() + 300;
+	limit_ms = now_ms() + LIMIT_MS;
+	while (ends_ms_.size() < ends_before && now_ms() < limit_ms)
+		step();
+	// What was seen last is told by then.
+	run_until_ms(now_ms() + (case_.daemons_killed ? 700 : 0));
+	if (case_.store_away || case_.daemons_killed)
+		disturb();
+	while (ends_ms_.size() < 3 && now_ms() < limit_ms)
+		step();
+	run_until_ms(bound_ms() + SEND_FOR_MS);
+}
+
+std::set<std::string> Scene::late_attempts() const
+{
+	std::set<std::string> late;
+
+	for (const auto &arrival : bad_ms_)
+		if (arrival.second > bound_ms())
+			late.insert(arrival.first);
+	return late;
+}
+
+std::string Scene::crash_lines() const
+{
+	std::string lines;
+
+	for (const auto &daemon : daemons_)
+		for (int i = 1; i <= daemon->starts; i++) {
+			std::istringstream in(daemon->output(i));
+			std::string line;
+
+			while (std::getline(in, line))
+				if (line.find(" part=crashes ") !=
+					    std::string::npos &&
+				    line.find("event=refused") ==
+					    std::string::npos)
+					lines += line + "\n";
+		}
+	return lines;
+}
+
+double Scene::sound_share() const
+{
+	return (double)sound_ok_ / std::max(1u, sound_ok_ + sound_failed_);
+}
+
+class ProofCrashingRequest : public ::testing::TestWithParam<SceneCase>
+{
+};
+
+const SceneCase scenes[] = {
+	{ "OneHost", 'i', 1, 1, false, false, 0, false },
+	{ "ManyHosts", 'i', 1, 4, false, false, 0, false },
+	{ "SeveralServersInOneAttempt", 'i', 3, 3, false, false, 0, false },
+	{ "RunsOnce", 'o', 1, 3, false, false, 0, false },
+	{ "AsAStream", 'r', 2, 3, false, false, 0, false },
+	{ "StoreAway", 'i', 2, 3, true, false, 0, false },
+	{ "HostsKilled", 'i', 2, 3, false, true, 0, false },
+	{ "ManyRunsCutAtOnce", 'i', 1, 3, false, false, 120, false },
+	{ "ServersHalfSound", 'i', 1, 3, false, false, 0, true },
+};
+
+} // namespace
+
+TEST_P(ProofCrashingRequest, IsHeldBackAfterThreeEnds)
+{
+	Scene scene(GetParam());
+
+	ASSERT_TRUE(scene.start());
+	scene.play();
+	EXPECT_GE(scene.ends(), 3u) << "the request reaches no server";
+	EXPECT_LE(scene.late_attempts().size(), LATE_ATTEMPTS_MAX);
+	EXPECT_GE(scene.sound_share(), 0.95);
+	std::cout << GetParam().name << ": " << scene.ends() << " ends, "
+		  << scene.late_attempts().size() << " late attempts, sound "
+		  << scene.sound_share() << "\n";
+	if (HasFailure())
+		std::cout << scene.crash_lines();
+}
+
+INSTANTIATE_TEST_SUITE_P(Scenes, ProofCrashingRequest,
+			 ::testing::ValuesIn(scenes),
+			 [](const ::testing::TestParamInfo<SceneCase> &info) {
+				 return std::string(info.param.name);
+			 });
