forward: count servers that end while they run a request on a kept connection

Cause: a server that dies resets its connections. On a kept one no byte of an answer had come, so the try was taken for one on an idle connection that the server had just closed (`stale`): it was not counted, and the request went to that server once more and then to another one. Kept connections are the usual case, so most crashes were never counted.

Change: where the try is repeated at the same server on a new connection, that connection tells the two apart: if nobody listens there, the server ended under the request and it counts. Where it is not repeated (it may run once, or was repeated often enough) the cut counts at once. Why this holds: a server that closed an idle connection takes the next one, so its sound requests are answered, and an answer clears the count.

Result: Forward.CountsServersThatEndOnKeptConnections failed before (0 counted, four of six cases) and passes.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -253,6 +253,29 @@
 	fleet_server_release(server);
 }
 
+/*
+ * A server that ends takes its kept connections along, as one does that closes
+ * idle ones: a new connection tells the two apart.
+ */
+static void learn_server_end(const struct forward_try *try,
+			     enum attempt_outcome outcome,
+			     enum attempt_action action)
+{
+	const struct forward *forward = try->forward;
+	struct crash_watch *watch = forward->forwarder->crashes;
+	int is_refused_anew = outcome == ATTEMPT_NOT_SENT && try->net.fresh;
+
+	if (!watch || (outcome != ATTEMPT_STALE && !is_refused_anew))
+		return;
+	if (action == ATTEMPT_SAME)
+		crash_watch_not_counted(
+			watch, forward_hash(forward), forward->caller.id,
+			try->server->entry.id, "kept_connection");
+	else
+		crash_watch_cut(watch, forward_hash(forward),
+				forward->caller.id, try->server->entry.id);
+}
+
 void forward_on_try_end(struct forward_try *try, enum attempt_outcome outcome)
 {
 	struct forward *forward = try->forward;
@@ -260,6 +283,7 @@
 
 	count_run(try, outcome);
 	action = plan(forward, outcome);
+	learn_server_end(try, outcome, action);
 	if (action == ATTEMPT_AGAIN &&
 	    (crash_refusal_ns(forward) || !try_another(forward))) {
 		if (forward->running > 1)
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -123,10 +123,6 @@
 	if (outcome == ATTEMPT_LOST && net == NET_CUT)
 		crash_watch_cut(watch, forward_hash(forward),
 				forward->caller.id, try->server->entry.id);
-	else if (outcome == ATTEMPT_STALE)
-		crash_watch_not_counted(
-			watch, forward_hash(forward), forward->caller.id,
-			try->server->entry.id, "kept_connection");
 	else if ((outcome == ATTEMPT_ANSWERED || outcome == ATTEMPT_FAILED) &&
 		 crash_watch_suspects_any(watch))
 		crash_watch_answered(watch, forward_hash(forward),
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -654,21 +654,101 @@
 	EXPECT_LE(took_ms, 1300);
 }
 
-// A caller sends a request that takes each server down, again and again.
-TEST_F(Forward, RefusesARequestThatCrashesServers)
+namespace
 {
-	FakeTopics topics(&loop_.reactor.timers);
+
+// What the hosts know of requests that crash servers, of one host.
+struct Crashes {
+	Crashes(TestReactor *loop, struct counter_set *counters)
+	    : topics(&loop->reactor.timers)
+	{
+		struct entry_host own = {};
+
+		discovery_init(&discovery, topics.log(), &loop->reactor.timers,
+			       &own, nullptr, counters);
+		crash_watch_init(&watch, &discovery, &loop->reactor.clock,
+				 nullptr, counters);
+	}
+
+	~Crashes()
+	{
+		discovery_finish(&discovery);
+	}
+
+	FakeTopics topics;
 	struct discovery discovery;
-	struct entry_host own = {};
 	struct crash_watch watch;
+};
+
+struct KeptCase {
+	const char *name;
+	const char *path;
+	bool ends; // the server, and nobody listens
+	bool cut; // else the kept connection alone, and a new one is served
+	int64_t crashes;
+};
+
+} // namespace
+
+// A server that ends while it runs a request on a kept connection looks like
+// one that closes an idle connection.
+TEST_F(Forward, CountsServersThatEndOnKeptConnections)
+{
+	const KeptCase cases[] = {
+		{ "ends, repeatable", "/i/bad", true, true, 1 },
+		{ "ends, once", "/o/bad", true, true, 1 },
+		{ "ends, a stream", "/s/bad", true, true, 1 },
+		{ "ends, resumable", "/r/bad", true, true, 1 },
+		{ "closes an idle one", "/i/bad", false, false, 0 },
+		{ "cuts each run", "/i/bad", false, true, 1 },
+	};
+
+	configure();
+	for (const KeptCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		Crashes crashes(&loop_, &counters_);
+		int64_t before = counter_value(crashes.watch.crashes);
+		bool reached = false;
+		FakeServer *server;
+
+		forwarder_.crashes = &crashes.watch;
+		servers_.clear();
+		fleet_finish(&fleet_);
+		fleet_init(&fleet_);
+		server = add("a", reply());
+		ASSERT_EQ(200, status(ask(request("/i/good"))));
+		server->behaviour = [&](const ServerSaw &) {
+			bool first = !reached;
+
+			reached = true;
+			if (c.ends)
+				return hang();
+			return c.cut || first ? cut() : reply();
+		};
+		RawCaller caller(net_server_port(&server_));
+
+		caller.send(request(c.path));
+		ASSERT_TRUE(loop_.run_until([&] { return reached; }));
+		if (c.ends)
+			servers_.clear();
+		ASSERT_TRUE(loop_.run_until([&] {
+			return http_is_whole(caller.received()) ||
+			       caller.is_closed();
+		}));
+		EXPECT_EQ(c.crashes,
+			  counter_value(crashes.watch.crashes) - before);
+		forwarder_.crashes = nullptr;
+	}
+}
+
+// A caller sends a request that takes each server down, again and again.
+TEST_F(Forward, RefusesARequestThatCrashesServers)
+{
+	Crashes crashes(&loop_, &counters_);
 	std::string answer;
 	size_t reached = 0;
 
-	discovery_init(&discovery, topics.log(), &loop_.reactor.timers, &own,
-		       nullptr, &counters_);
-	crash_watch_init(&watch, &discovery, &loop_.reactor.clock, nullptr,
-			 &counters_);
-	forwarder_.crashes = &watch;
+	forwarder_.crashes = &crashes.watch;
 	configure();
 	ServerReply crash;
 	crash.cut = true;
@@ -693,5 +773,4 @@
 	}
 	EXPECT_EQ(200, status(answer));
 	EXPECT_EQ(503, status(ask(request("/o/bad"))));
-	discovery_finish(&discovery);
 }
