forward: let no failed answer clear a request that crashes servers

What callers saw: servers went on ending under one request (BUDGET) while others of the service were half sound.

Cause: any whole answer cleared what a host had counted, a 500 too. A server that fails part of its requests gives it without running them, so that it says nothing of what the request does to a server.

Change: only an answer that is no failure of the server (below 500) clears the count.

Result: Forward.AFailureDoesNotClearARequestThatCrashesServers failed before (500 and 504 cleared it) and passes.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -118,7 +118,7 @@
 }
 
 void crash_watch_answered(struct crash_watch *watch, uint64_t request,
-			  const char *id, const char *server, uint16_t status)
+			  const char *id, const char *server)
 {
 	const struct crash_suspect *suspect = crash_list_find(
 		&watch->seen, request, clock_now_ns(watch->clock));
@@ -126,7 +126,6 @@
 
 	if (!crash_list_clear(&watch->seen, request))
 		return;
-	report(watch, "cleared", request, id, server, crashes,
-	       status >= 500 ? "failed_answer" : "answer");
+	report(watch, "cleared", request, id, server, crashes, "answer");
 	discovery_set_crashes(watch->discovery, &watch->seen);
 }
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -47,8 +47,8 @@
 			     const char *id, const char *server,
 			     const char *reason);
 
-/* A run came to an answer. */
+/* A run came to an answer, and not to a failure of the server (5xx). */
 void crash_watch_answered(struct crash_watch *watch, uint64_t request,
-			  const char *id, const char *server, uint16_t status);
+			  const char *id, const char *server);
 
 #endif
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -123,11 +123,9 @@
 	if (outcome == ATTEMPT_LOST && net == NET_CUT)
 		crash_watch_cut(watch, forward_hash(forward),
 				forward->caller.id, try->server->entry.id);
-	else if ((outcome == ATTEMPT_ANSWERED || outcome == ATTEMPT_FAILED) &&
-		 crash_watch_suspects_any(watch))
+	else if (outcome == ATTEMPT_ANSWERED && crash_watch_suspects_any(watch))
 		crash_watch_answered(watch, forward_hash(forward),
-				     forward->caller.id, try->server->entry.id,
-				     try->answer.status);
+				     forward->caller.id, try->server->entry.id);
 }
 
 static void report_end(const struct forward_try *try,
--- a/policy/crash_list.h
+++ b/policy/crash_list.h
@@ -11,7 +11,7 @@
  * and each time a server is lost for seconds. A host counts the runs that
  * were cut off without an answer, by a hash of the request; all hosts' counts
  * together decide that it is refused for a while. A request that ran to an
- * answer is cleared. Servers that are lost together cut many requests once:
+ * answer is cleared, but not by a failure: servers give one without running it. Servers that are lost together cut many requests once:
  * so cuts that follow each other closely count as one. Pure and bounded.
  */
 #define CRASH_LIST_MAX 16
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -192,7 +192,7 @@
 {
 	for (int i = 0; i < 3; i++)
 		hosts_[i]->cut(7);
-	crash_watch_answered(&hosts_[0]->watch, 7, "id", "server", 200);
+	crash_watch_answered(&hosts_[0]->watch, 7, "id", "server");
 	time_.run(2000);
 	for (auto &host : hosts_)
 		EXPECT_EQ(0, host->refuses_ms(7));
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -741,6 +741,42 @@
 	}
 }
 
+// A server that is half sound fails requests that it has not run.
+TEST_F(Forward, AFailureDoesNotClearARequestThatCrashesServers)
+{
+	const struct {
+		const char *name;
+		ServerReply reply;
+		bool clears;
+	} cases[] = {
+		{ "a success", reply(), true },
+		{ "a client's error", reply(404), true },
+		{ "a failure", reply(500), false },
+		{ "a failure at the end of its time", reply(504), false },
+		{ "a refusal", not_run(), false },
+	};
+
+	configure();
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		Crashes crashes(&loop_, &counters_);
+		bool cuts = true;
+
+		forwarder_.crashes = &crashes.watch;
+		servers_.clear();
+		fleet_finish(&fleet_);
+		fleet_init(&fleet_);
+		add("a",
+		    [&](const ServerSaw &) { return cuts ? cut() : c.reply; });
+		ASSERT_EQ(502, status(ask(request("/o/bad"))));
+		ASSERT_TRUE(crash_watch_suspects_any(&crashes.watch));
+		cuts = false;
+		EXPECT_EQ(c.reply.status, status(ask(request("/o/bad"))));
+		EXPECT_EQ(!c.clears, crash_watch_suspects_any(&crashes.watch));
+		forwarder_.crashes = nullptr;
+	}
+}
+
 // A caller sends a request that takes each server down, again and again.
 TEST_F(Forward, RefusesARequestThatCrashesServers)
 {
