policy: count each server that is lost under a request

Cause: cuts at one host within 500 ms counted once, whichever servers they happened at, so that an attempt with three servers counted one crash. This was to spare a sound request whose tries meet servers that are lost together. But an attempt goes to its next server only after the last one is lost, and a connection to a server that is gone by then fails, which is no cut.

Change: cuts within 500 ms count once where they happened at the same server, which takes all runs of a request with it.

The case "a request's tries at servers that are lost together" of test-crashes demanded the old count, one for three servers.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/hash.h"
+
 void crash_watch_init(struct crash_watch *watch, struct discovery *discovery,
 		      struct clock *clock, struct record_log *log,
 		      struct counter_set *counters)
@@ -95,9 +97,10 @@
 {
 	int64_t now_ns = clock_now_ns(watch->clock);
 
-	if (!crash_list_note(&watch->seen, request, now_ns)) {
+	if (!crash_list_note(&watch->seen, request, hash_text(server, 0),
+			     now_ns)) {
 		crash_watch_not_counted(watch, request, id, server,
-					"soon_after_another");
+					"same_server");
 		return;
 	}
 	counter_add(watch->crashes, 1);
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -40,18 +40,21 @@
 	return oldest;
 }
 
-int crash_list_note(struct crash_list *list, uint64_t request, int64_t now_ns)
+int crash_list_note(struct crash_list *list, uint64_t request, uint64_t server,
+		    int64_t now_ns)
 {
 	int32_t place = place_of(list, request);
 	struct crash_suspect *suspect = place >= 0 ? &list->suspects[place]
 						   : find_place(list);
 
-	if (place >= 0 && now_ns - suspect->last_ns < CRASH_APART_NS)
+	if (place >= 0 && suspect->server == server &&
+	    now_ns - suspect->last_ns < CRASH_APART_NS)
 		return 0;
 	if (place < 0 || !counts(suspect, now_ns))
 		suspect->crashes = 0;
 	suspect->request = request;
 	suspect->crashes++;
+	suspect->server = server;
 	suspect->last_ns = now_ns;
 	return 1;
 }
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -21,6 +21,7 @@
 	int64_t at_ms;
 	char what; // c: cut, a: answered
 	uint64_t request;
+	uint64_t server = 1;
 };
 
 struct ListCase {
@@ -35,11 +36,21 @@
 	{ "never cut", {}, 0, 1, 0 },
 	{ "cut once", { { 0, 'c', 1 } }, 10, 1, 1 },
 	{ "another one", { { 0, 'c', 2 } }, 10, 1, 0 },
-	{ "a request's tries at servers that are lost together",
-	  { { 0, 'c', 1 }, { 20, 'c', 1 }, { 60, 'c', 1 } },
+	{ "one attempt's tries at three servers",
+	  { { 0, 'c', 1, 1 }, { 20, 'c', 1, 2 }, { 60, 'c', 1, 3 } },
+	  70,
+	  1,
+	  3 },
+	{ "runs of one request at a server that is lost",
+	  { { 0, 'c', 1, 5 }, { 1, 'c', 1, 5 }, { 60, 'c', 1, 5 } },
 	  70,
 	  1,
 	  1 },
+	{ "the same server, back again",
+	  { { 0, 'c', 1, 5 }, { 1200, 'c', 1, 5 } },
+	  1300,
+	  1,
+	  2 },
 	{ "again and again",
 	  { { 0, 'c', 1 }, { 2000, 'c', 1 }, { 4000, 'c', 1 } },
 	  4001,
@@ -81,6 +92,7 @@
 		for (const Step &step : c.steps) {
 			if (step.what == 'c')
 				crash_list_note(&list, step.request,
+						step.server,
 						step.at_ms * NS_PER_MS);
 			else
 				crash_list_clear(&list, step.request);
@@ -98,7 +110,7 @@
 	crash_list_init(&list);
 	EXPECT_TRUE(crash_list_is_empty(&list, 0));
 	for (uint64_t i = 0; i < CRASH_LIST_MAX + 3; i++)
-		crash_list_note(&list, i, (int64_t)i * NS_PER_S / 10);
+		crash_list_note(&list, i, 1, (int64_t)i * NS_PER_S / 10);
 	for (uint64_t i = 0; i < CRASH_LIST_MAX + 3; i++)
 		EXPECT_EQ(i >= 3,
 			  crash_list_find(&list, i, 2 * NS_PER_S) != nullptr)
