discovery: keep what hosts saw of crashing requests past their restarts

What callers saw: hosts were killed, and a request that three servers had ended under took more of them down (BUDGET).

Cause: what a host had counted stood in its notice alone. The first notice of its next process replaced it, so each kill of a host took its counts back, and a kill of all hosts took all.

Change: each host keeps its list of crashes under a key of its own in the hosts' topic (crashes/HOST), which everybody reads anyway: no further read, one append for each crash instead of none. A host reads its own list back before it writes it. Crashes are listed one by one, with server and wall clock, so that lists of several hosts are added up without counting one server's end twice (discovery/crash_board, crash_tally); notices no longer carry counts, and nobody writes for what no longer counts. Ruled out: a record for each crash, which somebody has to drop later, and which 350 hosts would write for each of the runs that a lost server cuts.

Daemons of before read such a record as a notice without a name, period and address, which takes no calls.

--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -11,6 +11,7 @@
 #include "store/topic_message.h"
 
 #define HOST_TOPIC "keyed.hosts"
+#define CRASH_KEY_PREFIX "crashes/"
 /*
  * Notices come this often, and less often the more hosts there are, so that
  * all together take no more than a tenth of what a store of today bears. Hosts
@@ -54,20 +55,7 @@
 	return bits;
 }
 
-static void read_suspects(const Currant__Topic__HostNotice *notice, int64_t now,
-			  struct crash_list *crashes)
-{
-	for (size_t i = 0; i < notice->n_suspects && i < CRASH_LIST_MAX; i++) {
-		const Currant__Topic__CrashSuspect *from = notice->suspects[i];
-		struct crash_suspect *to = &crashes->suspects[i];
-
-		to->request = from->request;
-		to->crashes = from->crashes;
-		to->last_ns = now - from->age_ms * NS_PER_MS;
-	}
-}
-
-static int read_notice(const Currant__Topic__HostNotice *notice, int64_t now,
+static int read_notice(const Currant__Topic__HostNotice *notice,
 		       struct entry_host *host)
 {
 	memset(host, 0, sizeof(*host));
@@ -77,7 +65,6 @@
 	host->partitions = partition_bits(notice);
 	host->cpu_milli = notice->cpu_milli;
 	host->period_ms = notice->period_ms;
-	read_suspects(notice, now, &host->crashes);
 	return copy_text(host->name, sizeof(host->name), notice->name) ||
 	       copy_text(host->data_centre, sizeof(host->data_centre),
 			 notice->data_centre) ||
@@ -101,24 +88,6 @@
 	record_end(&record);
 }
 
-/* A host's notice is the only copy of what it has counted. */
-static void report_lost_crashes(struct discovery *discovery,
-				const struct entry_host *known,
-				const struct entry_host *host)
-{
-	int64_t now = now_ns(discovery);
-	struct record record;
-
-	if (!known || known->incarnation == host->incarnation ||
-	    crash_list_is_empty(&known->crashes, now) ||
-	    !crash_list_is_empty(&host->crashes, now))
-		return;
-	record_begin(&record, discovery->log, "crashes", "lost");
-	record_text(&record, "name", host->name);
-	record_text(&record, "reason", "restarted");
-	record_end(&record);
-}
-
 static void report_malformed(struct discovery *discovery, const char *key,
 			     uint64_t offset)
 {
@@ -132,10 +101,22 @@
 	malformed_entry_report(&entry, discovery->log, NULL);
 }
 
-static void on_put(struct keyed_follower *follower, const char *key,
-		   const void *value, size_t len, uint64_t offset)
+static int64_t wall_ms(const struct discovery *discovery)
+{
+	return clock_wall_ms(discovery->follower.clock);
+}
+
+/* The host whose list of crashes the key names; NULL: it names no list. */
+static const char *crash_host(const char *key)
+{
+	size_t len = strlen(CRASH_KEY_PREFIX);
+
+	return strncmp(key, CRASH_KEY_PREFIX, len) ? NULL : key + len;
+}
+
+static void put_notice(struct discovery *discovery, const char *key,
+		       const void *value, size_t len, uint64_t offset)
 {
-	struct discovery *discovery = discovery_of(follower);
 	Currant__Topic__HostNotice *notice =
 		currant__topic__host_notice__unpack(NULL, len, value);
 	const struct entry_host *known =
@@ -147,12 +128,11 @@
 		report_malformed(discovery, key, offset);
 		return;
 	}
-	if (!read_notice(notice, now_ns(discovery), &host)) {
+	if (!read_notice(notice, &host)) {
 		host.offset = offset;
 		is_news = !known || known->incarnation != host.incarnation ||
 			  known->ready != host.ready ||
 			  known->leaving != host.leaving;
-		report_lost_crashes(discovery, known, &host);
 		host_table_put(&discovery->hosts, &host, now_ns(discovery));
 		if (is_news)
 			report(discovery, "notice", &host);
@@ -162,10 +142,40 @@
 	currant__topic__host_notice__free_unpacked(notice, NULL);
 }
 
+static void on_put(struct keyed_follower *follower, const char *key,
+		   const void *value, size_t len, uint64_t offset)
+{
+	struct discovery *discovery = discovery_of(follower);
+	const char *host = crash_host(key);
+
+	if (!host)
+		put_notice(discovery, key, value, len, offset);
+	else if (crash_board_put(&discovery->crashes, host,
+				 !strcmp(host, discovery->own.name), value, len,
+				 offset, wall_ms(discovery)))
+		report_malformed(discovery, key, offset);
+}
+
 static void on_drop(struct keyed_follower *follower, const char *key,
 		    uint64_t offset)
 {
-	host_table_drop(&discovery_of(follower)->hosts, key, offset);
+	struct discovery *discovery = discovery_of(follower);
+	const char *host = crash_host(key);
+
+	if (host)
+		crash_board_drop(&discovery->crashes, host, offset);
+	else
+		host_table_drop(&discovery->hosts, key, offset);
+}
+
+static void on_listed(struct keyed_follower *follower, uint64_t offset)
+{
+	struct discovery *discovery = discovery_of(follower);
+
+	(void)offset;
+	discovery->crashes.is_restored = 1;
+	if (discovery->stale_crashes)
+		discovery_tell_crashes(discovery);
 }
 
 static void on_gap(struct keyed_follower *follower, int64_t away_ns)
@@ -176,37 +186,13 @@
 static const struct keyed_follower_vtable follower_vtable = {
 	.put = on_put,
 	.drop = on_drop,
+	.listed = on_listed,
 	.gap = on_gap,
 };
 
-/* Crashes as old as they are now; returns how many are worth telling. */
-static size_t fill_suspects(const struct crash_list *crashes, int64_t now,
-			    Currant__Topic__CrashSuspect *out,
-			    Currant__Topic__CrashSuspect **list)
-{
-	size_t count = 0;
-
-	for (uint32_t i = 0; i < CRASH_LIST_MAX; i++) {
-		const struct crash_suspect *from = &crashes->suspects[i];
-		Currant__Topic__CrashSuspect *to = &out[count];
-
-		if (!from->crashes || now - from->last_ns >= CRASH_MEMORY_NS)
-			continue;
-		currant__topic__crash_suspect__init(to);
-		to->request = from->request;
-		to->crashes = from->crashes;
-		to->age_ms = (uint32_t)((now - from->last_ns) / NS_PER_MS);
-		list[count++] = to;
-	}
-	return count;
-}
-
-static void add_notice(const struct entry_host *own, int64_t now,
-		       struct strbuf *out)
+static void add_notice(const struct entry_host *own, struct strbuf *out)
 {
 	Currant__Topic__HostNotice notice = CURRANT__TOPIC__HOST_NOTICE__INIT;
-	Currant__Topic__CrashSuspect *list[CRASH_LIST_MAX];
-	Currant__Topic__CrashSuspect suspects[CRASH_LIST_MAX];
 	uint32_t partitions[HOST_PARTITIONS_MAX];
 
 	notice.name = (char *)own->name;
@@ -218,8 +204,6 @@
 	notice.leaving = own->leaving;
 	notice.cpu_milli = own->cpu_milli;
 	notice.period_ms = own->period_ms;
-	notice.suspects = list;
-	notice.n_suspects = fill_suspects(&own->crashes, now, suspects, list);
 	notice.partitions = partitions;
 	for (uint32_t i = 0; i < HOST_PARTITIONS_MAX; i++)
 		if (own->partitions >> i & 1)
@@ -249,7 +233,7 @@
 	if (discovery->pending)
 		return;
 	write = topic_write_new(on_written, discovery);
-	add_notice(&discovery->own, now_ns(discovery), &write->records);
+	add_notice(&discovery->own, &write->records);
 	write->record_count = 1;
 	discovery->pending = write;
 	topic_writer_add(&discovery->writer, write);
@@ -300,6 +284,8 @@
 	struct discovery *discovery = arg;
 
 	host_table_sweep(&discovery->hosts, at_ns);
+	if (crash_board_sweep(&discovery->crashes, wall_ms(discovery)))
+		discovery_tell_crashes(discovery);
 	discovery->follower.pause_ns = read_pause_ns(discovery);
 	if (discovery->pending)
 		wait_for_next(discovery);
@@ -323,6 +309,7 @@
 	keyed_follower_init(&discovery->follower, &follower_vtable, log, timers,
 			    &settings, counters);
 	host_table_init(&discovery->hosts);
+	crash_board_init(&discovery->crashes);
 	discovery->own = *own;
 	discovery->own.period_ms = NOTICE_PERIOD_MIN_NS / NS_PER_MS;
 	discovery->log = records;
@@ -338,6 +325,7 @@
 	keyed_follower_finish(&discovery->follower);
 	topic_writer_finish(&discovery->writer);
 	host_table_finish(&discovery->hosts);
+	crash_board_finish(&discovery->crashes);
 }
 
 void discovery_start(struct discovery *discovery)
@@ -368,10 +356,35 @@
 	write_periodic(discovery);
 }
 
-void discovery_set_crashes(struct discovery *discovery,
-			   const struct crash_list *crashes)
+static void on_crashes_written(struct topic_write *write,
+			       enum topic_write_outcome outcome)
+{
+	struct discovery *discovery = write->arg;
+
+	(void)outcome; /* a refused write is tried again until it is done */
+	discovery->pending_crashes = NULL;
+	topic_write_free(write);
+	if (discovery->stale_crashes)
+		discovery_tell_crashes(discovery);
+}
+
+/* Not before the own list was read back, which this would replace. */
+void discovery_tell_crashes(struct discovery *discovery)
 {
-	discovery->own.crashes = *crashes;
+	char key[sizeof(CRASH_KEY_PREFIX) + HOST_NAME_BYTES];
+	struct topic_write *write;
+
+	discovery->stale_crashes = discovery->pending_crashes ||
+				   !discovery->crashes.is_restored;
+	if (discovery->stale_crashes)
+		return;
+	snprintf(key, sizeof(key), CRASH_KEY_PREFIX "%s", discovery->own.name);
+	write = topic_write_new(on_crashes_written, discovery);
+	crash_board_write(&discovery->crashes, key, &write->records);
+	write->record_count = 1;
+	write->persistent = 1;
+	discovery->pending_crashes = write;
+	topic_writer_add(&discovery->writer, write);
 }
 
 /*
--- a/discovery/discovery.h
+++ b/discovery/discovery.h
@@ -2,6 +2,7 @@
 #define DISCOVERY_DISCOVERY_H
 
 #include "base/record_log.h"
+#include "discovery/crash_board.h"
 #include "discovery/host_table.h"
 #include "policy/partition_owner.h"
 #include "store/keyed_follower.h"
@@ -20,6 +21,7 @@
 struct discovery {
 	struct keyed_follower follower;
 	struct host_table hosts;
+	struct crash_board crashes;
 	struct topic_writer writer;
 	struct topic_write *pending; /* a notice that is being written */
 	struct entry_host own;
@@ -27,6 +29,8 @@
 	struct record_log *log;
 	struct discovery_listener *listener; /* may be NULL */
 	int stale; /* the own state changed while one was written */
+	struct topic_write *pending_crashes; /* the own list, being written */
+	int stale_crashes; /* it changed meanwhile */
 };
 
 void discovery_init(struct discovery *discovery, struct topic_log *log,
@@ -40,9 +44,8 @@
 void discovery_set_leaving(struct discovery *discovery);
 void discovery_set_partitions(struct discovery *discovery, uint64_t partitions);
 
-/* Goes out with the next notice. */
-void discovery_set_crashes(struct discovery *discovery,
-			   const struct crash_list *crashes);
+/* The own list of crashes has changed: tells the other hosts. */
+void discovery_tell_crashes(struct discovery *discovery);
 
 /* Whether the host's notices come, as far as they could be read. */
 int discovery_is_alive(const struct discovery *discovery,
--- a/discovery/host_table.h
+++ b/discovery/host_table.h
@@ -4,7 +4,6 @@
 #include <stdint.h>
 
 #include "base/clock.h"
-#include "policy/crash_list.h"
 
 /*
  * The entry hosts, as their notices in the platform's store show them. A host
@@ -26,7 +25,6 @@
 	uint64_t partitions; /* bits: those that it runs */
 	uint32_t cpu_milli;
 	uint32_t period_ms;
-	struct crash_list crashes; /* that it saw, by this host's clock */
 	uint64_t offset; /* of its newest notice */
 	int64_t heard_ns; /* when that was read */
 	struct entry_host *next;
--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -11,7 +11,6 @@
 		      struct counter_set *counters)
 {
 	memset(watch, 0, sizeof(*watch));
-	crash_list_init(&watch->seen);
 	watch->discovery = discovery;
 	watch->clock = clock;
 	watch->log = log;
@@ -19,42 +18,29 @@
 	watch->refused = counter_get(counters, "request_crash_refusals_total");
 }
 
-static int is_own(const struct crash_watch *watch,
-		  const struct entry_host *host)
+static int64_t now_ms(const struct crash_watch *watch)
 {
-	return !strcmp(host->name, watch->discovery->own.name);
+	return clock_wall_ms(watch->clock);
+}
+
+static struct crash_board *board_of(const struct crash_watch *watch)
+{
+	return &watch->discovery->crashes;
 }
 
 int crash_watch_suspects_any(const struct crash_watch *watch)
 {
-	return !crash_list_is_empty(&watch->seen, clock_now_ns(watch->clock));
+	return board_of(watch)->own.count > 0;
 }
 
 int crash_watch_is_idle(const struct crash_watch *watch)
 {
-	int64_t now_ns = clock_now_ns(watch->clock);
-
-	if (crash_watch_suspects_any(watch))
-		return 0;
-	for (const struct entry_host *h = watch->discovery->hosts.first; h;
-	     h = h->next)
-		if (!is_own(watch, h) &&
-		    !crash_list_is_empty(&h->crashes, now_ns))
-			return 0;
-	return 1;
+	return crash_board_is_idle(board_of(watch), now_ms(watch));
 }
 
-static void add_up(const struct crash_list *list, uint64_t request,
-		   int64_t now_ns, struct crash_suspect *sum)
+static uint32_t own_crashes(const struct crash_watch *watch, uint64_t request)
 {
-	const struct crash_suspect *suspect =
-		crash_list_find(list, request, now_ns);
-
-	if (!suspect)
-		return;
-	sum->crashes += suspect->crashes;
-	if (suspect->last_ns > sum->last_ns)
-		sum->last_ns = suspect->last_ns;
+	return crash_list_count(&board_of(watch)->own, request, now_ms(watch));
 }
 
 static void report(const struct crash_watch *watch, const char *event,
@@ -77,58 +63,53 @@
 int64_t crash_watch_refuses_ns(const struct crash_watch *watch,
 			       uint64_t request, const char *id)
 {
-	int64_t now_ns = clock_now_ns(watch->clock);
-	struct crash_suspect sum = { .request = request };
-
-	add_up(&watch->seen, request, now_ns, &sum);
-	for (const struct entry_host *h = watch->discovery->hosts.first; h;
-	     h = h->next)
-		if (!is_own(watch, h))
-			add_up(&h->crashes, request, now_ns, &sum);
-	if (sum.crashes < CRASHES_MAX)
+	struct crash_tally tally;
+	int64_t refused_ms;
+
+	crash_board_tally(board_of(watch), request, now_ms(watch), &tally);
+	refused_ms = crash_tally_refused_ms(&tally);
+	if (refused_ms <= 0)
 		return 0;
 	counter_add(watch->refused, 1);
-	report(watch, "refused", request, id, NULL, sum.crashes, NULL);
-	return sum.last_ns + CRASH_MEMORY_NS - now_ns;
+	report(watch, "refused", request, id, NULL, tally.count, NULL);
+	return refused_ms * NS_PER_MS;
 }
 
 void crash_watch_cut(struct crash_watch *watch, uint64_t request,
 		     const char *id, const char *server)
 {
-	int64_t now_ns = clock_now_ns(watch->clock);
+	const struct crash crash = {
+		.request = request,
+		.server = hash_text(server, 0),
+		.at_ms = now_ms(watch),
+	};
 
-	if (!crash_list_note(&watch->seen, request, hash_text(server, 0),
-			     now_ns)) {
+	if (!crash_board_note(board_of(watch), &crash)) {
 		crash_watch_not_counted(watch, request, id, server,
 					"same_server");
 		return;
 	}
 	counter_add(watch->crashes, 1);
 	report(watch, "suspected", request, id, server,
-	       crash_list_find(&watch->seen, request, now_ns)->crashes, NULL);
-	discovery_set_crashes(watch->discovery, &watch->seen);
+	       own_crashes(watch, request), NULL);
+	discovery_tell_crashes(watch->discovery);
 }
 
 void crash_watch_not_counted(struct crash_watch *watch, uint64_t request,
 			     const char *id, const char *server,
 			     const char *reason)
 {
-	const struct crash_suspect *suspect = crash_list_find(
-		&watch->seen, request, clock_now_ns(watch->clock));
-
 	report(watch, "not_counted", request, id, server,
-	       suspect ? suspect->crashes : 0, reason);
+	       own_crashes(watch, request), reason);
 }
 
 void crash_watch_answered(struct crash_watch *watch, uint64_t request,
 			  const char *id, const char *server)
 {
-	const struct crash_suspect *suspect = crash_list_find(
-		&watch->seen, request, clock_now_ns(watch->clock));
-	uint32_t crashes = suspect ? suspect->crashes : 0;
+	uint32_t crashes = own_crashes(watch, request);
 
-	if (!crash_list_clear(&watch->seen, request))
+	if (!crash_list_clear(&board_of(watch)->own, request))
 		return;
 	report(watch, "cleared", request, id, server, crashes, "answer");
-	discovery_set_crashes(watch->discovery, &watch->seen);
+	discovery_tell_crashes(watch->discovery);
 }
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -6,11 +6,10 @@
 #include "policy/crash_list.h"
 
 /*
- * Refuses requests that crash backend servers, by what this host and, through
- * their notices, the other hosts have seen. See policy/crash_list.h.
+ * Refuses requests that crash backend servers, by what this host and the
+ * others have seen. See policy/crash_list.h and discovery/crash_board.h.
  */
 struct crash_watch {
-	struct crash_list seen; /* by this host */
 	struct discovery *discovery;
 	struct clock *clock;
 	struct record_log *log;
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -2,87 +2,142 @@
 
 #include <string.h>
 
-#include "base/alloc.h"
-
 void crash_list_init(struct crash_list *list)
 {
 	memset(list, 0, sizeof(*list));
 }
 
-static int counts(const struct crash_suspect *suspect, int64_t now_ns)
+static int counts(const struct crash *crash, int64_t now_ms)
 {
-	return suspect->crashes && now_ns - suspect->last_ns < CRASH_MEMORY_NS;
+	return now_ms - crash->at_ms < CRASH_MEMORY_MS;
 }
 
-/* Index of the request's entry, however old; -1 if there is none. */
-static int32_t place_of(const struct crash_list *list, uint64_t request)
+/* Whether both tell of one server's end. */
+static int is_same(const struct crash *a, const struct crash *b)
 {
-	for (int32_t i = 0; i < CRASH_LIST_MAX; i++)
-		if (list->suspects[i].crashes &&
-		    list->suspects[i].request == request)
-			return i;
-	return -1;
+	int64_t apart_ms = a->at_ms - b->at_ms;
+
+	return a->request == b->request && a->server == b->server &&
+	       apart_ms < CRASH_APART_MS && -apart_ms < CRASH_APART_MS;
 }
 
-/* A place that is not used, or the one that was heard of least lately. */
-static struct crash_suspect *find_place(struct crash_list *list)
+static void remove_at(struct crash_list *list, uint32_t i)
 {
-	struct crash_suspect *oldest = &list->suspects[0];
+	list->crashes[i] = list->crashes[--list->count];
+}
 
-	for (uint32_t i = 0; i < CRASH_LIST_MAX; i++) {
-		struct crash_suspect *suspect = &list->suspects[i];
+static uint32_t oldest_of(const struct crash_list *list)
+{
+	uint32_t oldest = 0;
 
-		if (!suspect->crashes)
-			return suspect;
-		if (suspect->last_ns < oldest->last_ns)
-			oldest = suspect;
-	}
+	for (uint32_t i = 1; i < list->count; i++)
+		if (list->crashes[i].at_ms < list->crashes[oldest].at_ms)
+			oldest = i;
 	return oldest;
 }
 
-int crash_list_note(struct crash_list *list, uint64_t request, uint64_t server,
-		    int64_t now_ns)
+int crash_list_add(struct crash_list *list, const struct crash *crash)
 {
-	int32_t place = place_of(list, request);
-	struct crash_suspect *suspect = place >= 0 ? &list->suspects[place]
-						   : find_place(list);
-
-	if (place >= 0 && suspect->server == server &&
-	    now_ns - suspect->last_ns < CRASH_APART_NS)
-		return 0;
-	if (place < 0 || !counts(suspect, now_ns))
-		suspect->crashes = 0;
-	suspect->request = request;
-	suspect->crashes++;
-	suspect->server = server;
-	suspect->last_ns = now_ns;
+	for (uint32_t i = 0; i < list->count; i++)
+		if (is_same(&list->crashes[i], crash))
+			return 0;
+	if (list->count == CRASH_LIST_MAX)
+		remove_at(list, oldest_of(list));
+	list->crashes[list->count++] = *crash;
 	return 1;
 }
 
 int crash_list_clear(struct crash_list *list, uint64_t request)
 {
-	int32_t place = place_of(list, request);
+	uint32_t before = list->count;
+	uint32_t i = 0;
 
-	if (place < 0)
-		return 0;
-	list->suspects[place].crashes = 0;
-	return 1;
+	while (i < list->count) {
+		if (list->crashes[i].request == request)
+			remove_at(list, i);
+		else
+			i++;
+	}
+	return list->count < before;
 }
 
-const struct crash_suspect *crash_list_find(const struct crash_list *list,
-					    uint64_t request, int64_t now_ns)
+void crash_list_prune(struct crash_list *list, int64_t now_ms)
 {
-	int32_t place = place_of(list, request);
+	uint32_t i = 0;
 
-	return place >= 0 && counts(&list->suspects[place], now_ns)
-		       ? &list->suspects[place]
-		       : NULL;
+	while (i < list->count) {
+		if (!counts(&list->crashes[i], now_ms))
+			remove_at(list, i);
+		else
+			i++;
+	}
 }
 
-int crash_list_is_empty(const struct crash_list *list, int64_t now_ns)
+uint32_t crash_list_count(const struct crash_list *list, uint64_t request,
+			  int64_t now_ms)
 {
-	for (uint32_t i = 0; i < CRASH_LIST_MAX; i++)
-		if (counts(&list->suspects[i], now_ns))
-			return 0;
-	return 1;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < list->count; i++)
+		count += list->crashes[i].request == request &&
+			 counts(&list->crashes[i], now_ms);
+	return count;
+}
+
+int64_t crash_list_newest_ms(const struct crash_list *list)
+{
+	int64_t newest_ms = INT64_MIN;
+
+	for (uint32_t i = 0; i < list->count; i++)
+		if (list->crashes[i].at_ms > newest_ms)
+			newest_ms = list->crashes[i].at_ms;
+	return newest_ms;
+}
+
+void crash_tally_init(struct crash_tally *tally, uint64_t request,
+		      int64_t now_ms)
+{
+	memset(tally, 0, sizeof(*tally));
+	tally->request = request;
+	tally->now_ms = now_ms;
+}
+
+/* In order of time; the oldest one falls out of a full tally. */
+static void tally_one(struct crash_tally *tally, const struct crash *crash)
+{
+	uint32_t at = tally->count;
+
+	for (uint32_t i = 0; i < tally->count; i++)
+		if (is_same(&tally->crashes[i], crash))
+			return;
+	while (at && tally->crashes[at - 1].at_ms > crash->at_ms)
+		at--;
+	if (tally->count == CRASH_TALLY_MAX) {
+		if (!at)
+			return;
+		at--;
+		memmove(&tally->crashes[0], &tally->crashes[1],
+			at * sizeof(*crash));
+	} else {
+		memmove(&tally->crashes[at + 1], &tally->crashes[at],
+			(tally->count - at) * sizeof(*crash));
+		tally->count++;
+	}
+	tally->crashes[at] = *crash;
+}
+
+void crash_tally_add(struct crash_tally *tally, const struct crash_list *list)
+{
+	for (uint32_t i = 0; i < list->count; i++)
+		if (list->crashes[i].request == tally->request &&
+		    counts(&list->crashes[i], tally->now_ms))
+			tally_one(tally, &list->crashes[i]);
+}
+
+int64_t crash_tally_refused_ms(const struct crash_tally *tally)
+{
+	if (tally->count < CRASHES_MAX)
+		return 0;
+	return tally->crashes[tally->count - 1].at_ms + CRASH_MEMORY_MS -
+	       tally->now_ms;
 }
--- a/policy/crash_list.h
+++ b/policy/crash_list.h
@@ -3,57 +3,72 @@
 
 #include <stdint.h>
 
-#include "base/clock.h"
-
 /*
  * Requests that may crash the backend servers that run them. Answers this
  * load: a caller sends one such request again and again, at any entry host,
  * one attempt goes to several servers in a row, and each time a server is lost
- * for seconds. A host counts the servers that were lost under a request, by a
- * hash of it; all hosts' counts together decide that it is refused for a
- * while. A request that ran to an answer is cleared, but not by a failure:
- * servers give one without running it. Pure and bounded.
+ * for seconds. A host lists the servers that were lost under a request, by a
+ * hash of it; all hosts' lists together decide that it is refused for a while.
+ * A request that ran to an answer is cleared, but not by a failure: servers
+ * give one without running it. Pure and bounded.
  */
 #define CRASH_LIST_MAX 16
 
 /* Crashes after which a request is refused; the platform allows three. */
 #define CRASHES_MAX 3
 /* A server that crashed is back after seconds; callers wait for less. */
-#define CRASH_MEMORY_NS (30 * NS_PER_S)
+#define CRASH_MEMORY_MS 30000
 /*
  * One server that is lost cuts all runs of a request at once. Less than it
  * needs to come back.
  */
-#define CRASH_APART_NS (500 * NS_PER_MS)
+#define CRASH_APART_MS 500
 
-struct crash_suspect {
+/* A server was lost while it ran a request. */
+struct crash {
 	uint64_t request; /* hash */
-	uint32_t crashes; /* 0: not used */
-	uint64_t server; /* hash of the last one's id */
-	int64_t last_ns;
+	uint64_t server; /* hash of its id */
+	int64_t at_ms; /* wall clock of the host that saw it */
 };
 
 struct crash_list {
-	struct crash_suspect suspects[CRASH_LIST_MAX];
+	struct crash crashes[CRASH_LIST_MAX];
+	uint32_t count;
 };
 
 void crash_list_init(struct crash_list *list);
 
-/*
- * A run was cut off at the server (a hash); returns whether it counts. The
- * oldest gives way.
- */
-int crash_list_note(struct crash_list *list, uint64_t request, uint64_t server,
-		    int64_t now_ns);
+/* Returns whether it is a crash of its own. The oldest gives way. */
+int crash_list_add(struct crash_list *list, const struct crash *crash);
 
-/* It ran to an answer; returns whether it was listed. */
+/* The request ran to an answer; returns whether it was listed. */
 int crash_list_clear(struct crash_list *list, uint64_t request);
 
-/* The request's entry; NULL if there is none or it is too old. */
-const struct crash_suspect *crash_list_find(const struct crash_list *list,
-					    uint64_t request, int64_t now_ns);
+/* Forgets what no longer counts. */
+void crash_list_prune(struct crash_list *list, int64_t now_ms);
+
+/* How many crashes of the request count. */
+uint32_t crash_list_count(const struct crash_list *list, uint64_t request,
+			  int64_t now_ms);
+
+/* When the newest crash was seen; INT64_MIN if there is none. */
+int64_t crash_list_newest_ms(const struct crash_list *list);
+
+/* Crashes of one request by the lists of all hosts; saturates. */
+#define CRASH_TALLY_MAX 8
+
+struct crash_tally {
+	uint64_t request;
+	int64_t now_ms;
+	struct crash crashes[CRASH_TALLY_MAX]; /* the newest, oldest first */
+	uint32_t count;
+};
+
+void crash_tally_init(struct crash_tally *tally, uint64_t request,
+		      int64_t now_ms);
+void crash_tally_add(struct crash_tally *tally, const struct crash_list *list);
 
-/* Whether any entry is young enough to count. */
-int crash_list_is_empty(const struct crash_list *list, int64_t now_ns);
+/* How long the request is still to be refused; 0: it may run. */
+int64_t crash_tally_refused_ms(const struct crash_tally *tally);
 
 #endif
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -52,49 +52,94 @@
   assert(message->base.descriptor == &currant__topic__host_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   currant__topic__crash_suspect__init
-                     (Currant__Topic__CrashSuspect         *message)
+void   currant__topic__crash_report__init
+                     (Currant__Topic__CrashReport         *message)
 {
-  static const Currant__Topic__CrashSuspect init_value = CURRANT__TOPIC__CRASH_SUSPECT__INIT;
+  static const Currant__Topic__CrashReport init_value = CURRANT__TOPIC__CRASH_REPORT__INIT;
   *message = init_value;
 }
-size_t currant__topic__crash_suspect__get_packed_size
-                     (const Currant__Topic__CrashSuspect *message)
+size_t currant__topic__crash_report__get_packed_size
+                     (const Currant__Topic__CrashReport *message)
 {
-  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  assert(message->base.descriptor == &currant__topic__crash_report__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t currant__topic__crash_suspect__pack
-                     (const Currant__Topic__CrashSuspect *message,
+size_t currant__topic__crash_report__pack
+                     (const Currant__Topic__CrashReport *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  assert(message->base.descriptor == &currant__topic__crash_report__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t currant__topic__crash_suspect__pack_to_buffer
-                     (const Currant__Topic__CrashSuspect *message,
+size_t currant__topic__crash_report__pack_to_buffer
+                     (const Currant__Topic__CrashReport *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  assert(message->base.descriptor == &currant__topic__crash_report__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Currant__Topic__CrashSuspect *
-       currant__topic__crash_suspect__unpack
+Currant__Topic__CrashReport *
+       currant__topic__crash_report__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Currant__Topic__CrashSuspect *)
-     protobuf_c_message_unpack (&currant__topic__crash_suspect__descriptor,
+  return (Currant__Topic__CrashReport *)
+     protobuf_c_message_unpack (&currant__topic__crash_report__descriptor,
                                 allocator, len, data);
 }
-void   currant__topic__crash_suspect__free_unpacked
-                     (Currant__Topic__CrashSuspect *message,
+void   currant__topic__crash_report__free_unpacked
+                     (Currant__Topic__CrashReport *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &currant__topic__crash_suspect__descriptor);
+  assert(message->base.descriptor == &currant__topic__crash_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   currant__topic__crash__init
+                     (Currant__Topic__Crash         *message)
+{
+  static const Currant__Topic__Crash init_value = CURRANT__TOPIC__CRASH__INIT;
+  *message = init_value;
+}
+size_t currant__topic__crash__get_packed_size
+                     (const Currant__Topic__Crash *message)
+{
+  assert(message->base.descriptor == &currant__topic__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t currant__topic__crash__pack
+                     (const Currant__Topic__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &currant__topic__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t currant__topic__crash__pack_to_buffer
+                     (const Currant__Topic__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &currant__topic__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Currant__Topic__Crash *
+       currant__topic__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Currant__Topic__Crash *)
+     protobuf_c_message_unpack (&currant__topic__crash__descriptor,
+                                allocator, len, data);
+}
+void   currant__topic__crash__free_unpacked
+                     (Currant__Topic__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &currant__topic__crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   currant__topic__duty_claim__init
@@ -997,7 +1042,7 @@
   assert(message->base.descriptor == &currant__topic__item_text__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor currant__topic__host_notice__field_descriptors[11] =
+static const ProtobufCFieldDescriptor currant__topic__host_notice__field_descriptors[10] =
 {
   {
     "name",
@@ -1119,18 +1164,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "suspects",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Currant__Topic__HostNotice, n_suspects),
-    offsetof(Currant__Topic__HostNotice, suspects),
-    &currant__topic__crash_suspect__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned currant__topic__host_notice__field_indices_by_name[] = {
   3,   /* field[3] = caller_address */
@@ -1143,12 +1176,11 @@
   9,   /* field[9] = period_ms */
   5,   /* field[5] = ready */
   2,   /* field[2] = region */
-  10,   /* field[10] = suspects */
 };
 static const ProtobufCIntRange currant__topic__host_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor currant__topic__host_notice__descriptor =
 {
@@ -1158,14 +1190,52 @@
   "Currant__Topic__HostNotice",
   "currant.topic",
   sizeof(Currant__Topic__HostNotice),
-  11,
+  10,
   currant__topic__host_notice__field_descriptors,
   currant__topic__host_notice__field_indices_by_name,
   1,  currant__topic__host_notice__number_ranges,
   (ProtobufCMessageInit) currant__topic__host_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__crash_suspect__field_descriptors[3] =
+static const ProtobufCFieldDescriptor currant__topic__crash_report__field_descriptors[1] =
+{
+  {
+    "crashes",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Currant__Topic__CrashReport, n_crashes),
+    offsetof(Currant__Topic__CrashReport, crashes),
+    &currant__topic__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned currant__topic__crash_report__field_indices_by_name[] = {
+  0,   /* field[0] = crashes */
+};
+static const ProtobufCIntRange currant__topic__crash_report__number_ranges[1 + 1] =
+{
+  { 20, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor currant__topic__crash_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "currant.topic.CrashReport",
+  "CrashReport",
+  "Currant__Topic__CrashReport",
+  "currant.topic",
+  sizeof(Currant__Topic__CrashReport),
+  1,
+  currant__topic__crash_report__field_descriptors,
+  currant__topic__crash_report__field_indices_by_name,
+  1,  currant__topic__crash_report__number_ranges,
+  (ProtobufCMessageInit) currant__topic__crash_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor currant__topic__crash__field_descriptors[3] =
 {
   {
     "request",
@@ -1173,60 +1243,60 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__CrashSuspect, request),
+    offsetof(Currant__Topic__Crash, request),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "crashes",
+    "server",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__CrashSuspect, crashes),
+    offsetof(Currant__Topic__Crash, server),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
+    "at_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Currant__Topic__CrashSuspect, age_ms),
+    offsetof(Currant__Topic__Crash, at_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned currant__topic__crash_suspect__field_indices_by_name[] = {
-  2,   /* field[2] = age_ms */
-  1,   /* field[1] = crashes */
+static const unsigned currant__topic__crash__field_indices_by_name[] = {
+  2,   /* field[2] = at_ms */
   0,   /* field[0] = request */
+  1,   /* field[1] = server */
 };
-static const ProtobufCIntRange currant__topic__crash_suspect__number_ranges[1 + 1] =
+static const ProtobufCIntRange currant__topic__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor currant__topic__crash_suspect__descriptor =
+const ProtobufCMessageDescriptor currant__topic__crash__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "currant.topic.CrashSuspect",
-  "CrashSuspect",
-  "Currant__Topic__CrashSuspect",
+  "currant.topic.Crash",
+  "Crash",
+  "Currant__Topic__Crash",
   "currant.topic",
-  sizeof(Currant__Topic__CrashSuspect),
+  sizeof(Currant__Topic__Crash),
   3,
-  currant__topic__crash_suspect__field_descriptors,
-  currant__topic__crash_suspect__field_indices_by_name,
-  1,  currant__topic__crash_suspect__number_ranges,
-  (ProtobufCMessageInit) currant__topic__crash_suspect__init,
+  currant__topic__crash__field_descriptors,
+  currant__topic__crash__field_indices_by_name,
+  1,  currant__topic__crash__number_ranges,
+  (ProtobufCMessageInit) currant__topic__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor currant__topic__duty_claim__field_descriptors[6] =
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -16,7 +16,8 @@
 
 
 typedef struct Currant__Topic__HostNotice Currant__Topic__HostNotice;
-typedef struct Currant__Topic__CrashSuspect Currant__Topic__CrashSuspect;
+typedef struct Currant__Topic__CrashReport Currant__Topic__CrashReport;
+typedef struct Currant__Topic__Crash Currant__Topic__Crash;
 typedef struct Currant__Topic__DutyClaim Currant__Topic__DutyClaim;
 typedef struct Currant__Topic__DutyRest Currant__Topic__DutyRest;
 typedef struct Currant__Topic__WeightNeed Currant__Topic__WeightNeed;
@@ -81,32 +82,46 @@
    * until its next notice
    */
   uint32_t period_ms;
-  size_t n_suspects;
-  Currant__Topic__CrashSuspect **suspects;
 };
 #define CURRANT__TOPIC__HOST_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__host_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
- * A request whose runs were cut off at servers that this host sent it to.
+ * Topic keyed.hosts, key: crashes/HOST. Servers that were lost under requests
+ * that this host sent them. The number of its field is none of HostNotice's,
+ * as which a daemon from before this message reads it.
  */
-struct  Currant__Topic__CrashSuspect
+struct  Currant__Topic__CrashReport
+{
+  ProtobufCMessage base;
+  size_t n_crashes;
+  Currant__Topic__Crash **crashes;
+};
+#define CURRANT__TOPIC__CRASH_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__crash_report__descriptor) \
+    , 0,NULL }
+
+
+struct  Currant__Topic__Crash
 {
   ProtobufCMessage base;
   /*
    * hash of who asks for what
    */
   uint64_t request;
-  uint32_t crashes;
   /*
-   * of the last one
+   * hash of its id
+   */
+  uint64_t server;
+  /*
+   * wall clock of the host
    */
-  uint32_t age_ms;
+  int64_t at_ms;
 };
-#define CURRANT__TOPIC__CRASH_SUSPECT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&currant__topic__crash_suspect__descriptor) \
+#define CURRANT__TOPIC__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&currant__topic__crash__descriptor) \
     , 0, 0, 0 }
 
 
@@ -611,24 +626,43 @@
 void   currant__topic__host_notice__free_unpacked
                      (Currant__Topic__HostNotice *message,
                       ProtobufCAllocator *allocator);
-/* Currant__Topic__CrashSuspect methods */
-void   currant__topic__crash_suspect__init
-                     (Currant__Topic__CrashSuspect         *message);
-size_t currant__topic__crash_suspect__get_packed_size
-                     (const Currant__Topic__CrashSuspect   *message);
-size_t currant__topic__crash_suspect__pack
-                     (const Currant__Topic__CrashSuspect   *message,
+/* Currant__Topic__CrashReport methods */
+void   currant__topic__crash_report__init
+                     (Currant__Topic__CrashReport         *message);
+size_t currant__topic__crash_report__get_packed_size
+                     (const Currant__Topic__CrashReport   *message);
+size_t currant__topic__crash_report__pack
+                     (const Currant__Topic__CrashReport   *message,
                       uint8_t             *out);
-size_t currant__topic__crash_suspect__pack_to_buffer
-                     (const Currant__Topic__CrashSuspect   *message,
+size_t currant__topic__crash_report__pack_to_buffer
+                     (const Currant__Topic__CrashReport   *message,
                       ProtobufCBuffer     *buffer);
-Currant__Topic__CrashSuspect *
-       currant__topic__crash_suspect__unpack
+Currant__Topic__CrashReport *
+       currant__topic__crash_report__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   currant__topic__crash_suspect__free_unpacked
-                     (Currant__Topic__CrashSuspect *message,
+void   currant__topic__crash_report__free_unpacked
+                     (Currant__Topic__CrashReport *message,
+                      ProtobufCAllocator *allocator);
+/* Currant__Topic__Crash methods */
+void   currant__topic__crash__init
+                     (Currant__Topic__Crash         *message);
+size_t currant__topic__crash__get_packed_size
+                     (const Currant__Topic__Crash   *message);
+size_t currant__topic__crash__pack
+                     (const Currant__Topic__Crash   *message,
+                      uint8_t             *out);
+size_t currant__topic__crash__pack_to_buffer
+                     (const Currant__Topic__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Currant__Topic__Crash *
+       currant__topic__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   currant__topic__crash__free_unpacked
+                     (Currant__Topic__Crash *message,
                       ProtobufCAllocator *allocator);
 /* Currant__Topic__DutyClaim methods */
 void   currant__topic__duty_claim__init
@@ -1015,8 +1049,11 @@
 typedef void (*Currant__Topic__HostNotice_Closure)
                  (const Currant__Topic__HostNotice *message,
                   void *closure_data);
-typedef void (*Currant__Topic__CrashSuspect_Closure)
-                 (const Currant__Topic__CrashSuspect *message,
+typedef void (*Currant__Topic__CrashReport_Closure)
+                 (const Currant__Topic__CrashReport *message,
+                  void *closure_data);
+typedef void (*Currant__Topic__Crash_Closure)
+                 (const Currant__Topic__Crash *message,
                   void *closure_data);
 typedef void (*Currant__Topic__DutyClaim_Closure)
                  (const Currant__Topic__DutyClaim *message,
@@ -1086,7 +1123,8 @@
 
 extern const ProtobufCEnumDescriptor    currant__topic__item_state__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__host_notice__descriptor;
-extern const ProtobufCMessageDescriptor currant__topic__crash_suspect__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__crash_report__descriptor;
+extern const ProtobufCMessageDescriptor currant__topic__crash__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__duty_claim__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__duty_rest__descriptor;
 extern const ProtobufCMessageDescriptor currant__topic__weight_need__descriptor;
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -79,6 +79,14 @@
 	  1 },
 };
 
+void add(struct crash_list *list, uint64_t request, uint64_t server,
+	 int64_t at_ms)
+{
+	const struct crash crash = { request, server, at_ms };
+
+	crash_list_add(list, &crash);
+}
+
 } // namespace
 
 TEST(CrashList, CountsCrashesThatFollowEachOther)
@@ -86,20 +94,21 @@
 	for (const ListCase &c : list_cases) {
 		SCOPED_TRACE(c.name);
 		struct crash_list list;
-		const struct crash_suspect *suspect;
+		struct crash_tally tally;
 
 		crash_list_init(&list);
 		for (const Step &step : c.steps) {
 			if (step.what == 'c')
-				crash_list_note(&list, step.request,
-						step.server,
-						step.at_ms * NS_PER_MS);
+				add(&list, step.request, step.server,
+				    step.at_ms);
 			else
 				crash_list_clear(&list, step.request);
 		}
-		suspect =
-			crash_list_find(&list, c.request, c.end_ms * NS_PER_MS);
-		EXPECT_EQ(c.crashes, suspect ? suspect->crashes : 0);
+		crash_tally_init(&tally, c.request, c.end_ms);
+		crash_tally_add(&tally, &list);
+		EXPECT_EQ(c.crashes, tally.count);
+		EXPECT_EQ(c.crashes,
+			  crash_list_count(&list, c.request, c.end_ms));
 	}
 }
 
@@ -108,15 +117,40 @@
 	struct crash_list list;
 
 	crash_list_init(&list);
-	EXPECT_TRUE(crash_list_is_empty(&list, 0));
+	EXPECT_EQ(INT64_MIN, crash_list_newest_ms(&list));
 	for (uint64_t i = 0; i < CRASH_LIST_MAX + 3; i++)
-		crash_list_note(&list, i, 1, (int64_t)i * NS_PER_S / 10);
+		add(&list, i, 1, (int64_t)i * 100);
 	for (uint64_t i = 0; i < CRASH_LIST_MAX + 3; i++)
-		EXPECT_EQ(i >= 3,
-			  crash_list_find(&list, i, 2 * NS_PER_S) != nullptr)
-			<< i;
-	EXPECT_FALSE(crash_list_is_empty(&list, 2 * NS_PER_S));
-	EXPECT_TRUE(crash_list_is_empty(&list, 60 * NS_PER_S));
+		EXPECT_EQ(i >= 3, crash_list_count(&list, i, 2000)) << i;
+	EXPECT_EQ((CRASH_LIST_MAX + 2) * 100, crash_list_newest_ms(&list));
+	crash_list_prune(&list, 2000 + CRASH_MEMORY_MS);
+	EXPECT_EQ(0u, list.count);
+}
+
+// A tally is in order of time, whatever order the lists come in, and keeps
+// the newest.
+TEST(CrashTally, AddsUpTheListsOfAllHosts)
+{
+	struct crash_list lists[3];
+	struct crash_tally tally;
+
+	for (uint64_t host = 0; host < 3; host++) {
+		crash_list_init(&lists[host]);
+		for (uint64_t i = 0; i < 4; i++)
+			add(&lists[host], 7, 10 * host + i,
+			    (int64_t)(3000 - 1000 * host + 10 * i));
+	}
+	// Two hosts have seen the same server go.
+	add(&lists[0], 7, 20, 1100);
+	crash_tally_init(&tally, 7, 4000);
+	for (const struct crash_list &list : lists)
+		crash_tally_add(&tally, &list);
+	ASSERT_EQ((uint32_t)CRASH_TALLY_MAX, tally.count);
+	for (uint32_t i = 0; i < CRASH_TALLY_MAX; i++)
+		EXPECT_EQ((i < 4 ? 2000 : 3000) + 10 * (i % 4),
+			  tally.crashes[i].at_ms);
+	EXPECT_EQ(3030 + CRASH_MEMORY_MS - 4000,
+		  crash_tally_refused_ms(&tally));
 }
 
 namespace
@@ -125,10 +159,12 @@
 class Host
 {
       public:
-	Host(FakeTime *time, FakeTopics *topics, const std::string &name)
+	Host(FakeTime *time, FakeTopics *topics, const std::string &name,
+	     uint64_t incarnation)
 	{
 		struct entry_host own = {};
 
+		own.incarnation = incarnation;
 		copy_text(own.name, sizeof(own.name), name.c_str());
 		counter_set_init(&counters_);
 		discovery_init(&discovery_, topics->log(), &time->timers, &own,
@@ -144,9 +180,9 @@
 		counter_set_finish(&counters_);
 	}
 
-	void cut(uint64_t request)
+	void cut(uint64_t request, const char *server = "server")
 	{
-		crash_watch_cut(&watch, request, "id", "server");
+		crash_watch_cut(&watch, request, "id", server);
 	}
 
 	int64_t refuses_ms(uint64_t request)
@@ -167,14 +203,21 @@
       protected:
 	Crashes() : topics_(&time_.timers)
 	{
-		for (const char *name : { "a", "b", "c", "d" })
-			hosts_.emplace_back(new Host(&time_, &topics_, name));
+		start();
 		time_.run(1000);
 	}
 
+	void start()
+	{
+		for (const char *name : { "a", "b", "c", "d" })
+			hosts_.emplace_back(
+				new Host(&time_, &topics_, name, ++starts_));
+	}
+
 	FakeTime time_;
 	FakeTopics topics_;
 	std::vector<std::unique_ptr<Host>> hosts_;
+	uint64_t starts_ = 0;
 };
 
 } // namespace
@@ -225,3 +268,78 @@
 	time_.run(3000);
 	EXPECT_GT(hosts_[1]->refuses_ms(7), 0);
 }
+
+// A host that was killed is back under its name, as all may be at once.
+TEST_F(Crashes, AreKnownPastTheRestartsOfHosts)
+{
+	const struct {
+		const char *name;
+		std::vector<size_t> seen_by; // host of each crash
+		bool all; // else the first host alone restarts
+	} cases[] = {
+		{ "one saw them all and restarts", { 0, 0, 0 }, false },
+		{ "one saw them all and all restart", { 0, 0, 0 }, true },
+		{ "each saw one and all restart", { 0, 1, 2 }, true },
+	};
+	uint64_t request = 7;
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		request++;
+		for (size_t host : c.seen_by) {
+			hosts_[host]->cut(request);
+			time_.run(600);
+		}
+		if (c.all) {
+			hosts_.clear();
+			start();
+		} else {
+			hosts_[0].reset();
+			hosts_[0].reset(
+				new Host(&time_, &topics_, "a", ++starts_));
+		}
+		time_.run(1000);
+		for (auto &host : hosts_)
+			EXPECT_GT(host->refuses_ms(request), 0);
+	}
+}
+
+// What a host sees before it could read its own list back is added to it.
+TEST_F(Crashes, AddUpWhereTheStoreIsAwayAtARestart)
+{
+	hosts_[0]->cut(7, "s1");
+	hosts_[0]->cut(7, "s2");
+	time_.run(600);
+	hosts_[0].reset();
+	topics_.faults = [](const std::string &, const std::string &) {
+		return Fault::REFUSED;
+	};
+	hosts_[0].reset(new Host(&time_, &topics_, "a", ++starts_));
+	time_.run(1000);
+	hosts_[0]->cut(7, "s3");
+	EXPECT_EQ(0, hosts_[0]->refuses_ms(7));
+	topics_.faults = nullptr;
+	time_.run(2000);
+	for (auto &host : hosts_)
+		EXPECT_GT(host->refuses_ms(7), 0);
+}
+
+// Nothing is written for requests that no longer count.
+TEST_F(Crashes, LeaveNothingBehind)
+{
+	int before;
+
+	hosts_[0]->cut(7);
+	hosts_[1]->cut(8);
+	time_.run(CRASH_MEMORY_MS + 2000);
+	for (auto &host : hosts_)
+		EXPECT_TRUE(crash_watch_is_idle(&host->watch));
+	before = topics_.appends;
+	hosts_.clear();
+	time_.run(10000);
+	EXPECT_EQ(before, topics_.appends);
+	start();
+	time_.run(1000);
+	for (auto &host : hosts_)
+		EXPECT_FALSE(crash_watch_suspects_any(&host->watch));
+}
