policy: keep a suspect among the many runs that a lost server cuts

Cause: a host listed sixteen crashes, and the oldest one gave way. A server that ends cuts all its runs; a host with more than fifteen of them forgot what it knew of the request that ends servers.

Change: a list holds 64, and the crash goes first whose request is named least often there and by no other host, the oldest of these. 64 crashes take 2 KB of a host's record, which is written when they change.

--- a/discovery/crash_board.c
+++ b/discovery/crash_board.c
@@ -4,12 +4,26 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/container_of.h"
 #include "proto/topic.pb-c.h"
 #include "store/topic_message.h"
 
+static int is_reported(const struct crash_reporter *reporter, uint64_t request)
+{
+	const struct crash_board *board =
+		container_of(reporter, const struct crash_board, reporter);
+
+	for (const struct crash_report *r = board->others; r; r = r->next)
+		for (uint32_t i = 0; i < r->list.count; i++)
+			if (r->list.crashes[i].request == request)
+				return 1;
+	return 0;
+}
+
 void crash_board_init(struct crash_board *board)
 {
 	memset(board, 0, sizeof(*board));
+	board->reporter.reports = is_reported;
 	board->newest_ms = INT64_MIN;
 }
 
@@ -57,7 +71,7 @@
 			.at_ms = from->at_ms < now_ms ? from->at_ms : now_ms,
 		};
 
-		crash_list_add(list, &crash);
+		crash_list_add(list, &crash, NULL);
 	}
 }
 
@@ -97,7 +111,8 @@
 		put_other(board, host, &list, offset);
 	else if (!board->is_restored)
 		for (uint32_t i = 0; i < list.count; i++)
-			crash_list_add(&board->own, &list.crashes[i]);
+			crash_list_add(&board->own, &list.crashes[i],
+				       &board->reporter);
 	update_newest(board, &list);
 	return 0;
 }
@@ -134,7 +149,7 @@
 
 int crash_board_note(struct crash_board *board, const struct crash *crash)
 {
-	if (!crash_list_add(&board->own, crash))
+	if (!crash_list_add(&board->own, crash, &board->reporter))
 		return 0;
 	update_newest(board, &board->own);
 	return 1;
--- a/discovery/crash_board.h
+++ b/discovery/crash_board.h
@@ -20,6 +20,7 @@
 };
 
 struct crash_board {
+	struct crash_reporter reporter; /* of what the other hosts list */
 	struct crash_list own;
 	int is_restored; /* the own list was read back */
 	struct crash_report *others;
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -26,23 +26,54 @@
 	list->crashes[i] = list->crashes[--list->count];
 }
 
-static uint32_t oldest_of(const struct crash_list *list)
+static uint32_t count_all(const struct crash_list *list, uint64_t request)
 {
-	uint32_t oldest = 0;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < list->count; i++)
+		count += list->crashes[i].request == request;
+	return count;
+}
 
-	for (uint32_t i = 1; i < list->count; i++)
-		if (list->crashes[i].at_ms < list->crashes[oldest].at_ms)
-			oldest = i;
-	return oldest;
+/* How much is lost with a crash; the least goes first. */
+static uint32_t weight_of(const struct crash_list *list,
+			  const struct crash *crash,
+			  const struct crash_reporter *others)
+{
+	int is_reported = others && others->reports(others, crash->request);
+
+	return count_all(list, crash->request) +
+	       (is_reported ? CRASH_LIST_MAX : 0);
+}
+
+static uint32_t choose_victim(const struct crash_list *list,
+			      const struct crash_reporter *others)
+{
+	uint32_t victim = 0;
+	uint32_t least = UINT32_MAX;
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		const struct crash *crash = &list->crashes[i];
+		uint32_t weight = weight_of(list, crash, others);
+
+		if (weight > least ||
+		    (weight == least &&
+		     crash->at_ms >= list->crashes[victim].at_ms))
+			continue;
+		victim = i;
+		least = weight;
+	}
+	return victim;
 }
 
-int crash_list_add(struct crash_list *list, const struct crash *crash)
+int crash_list_add(struct crash_list *list, const struct crash *crash,
+		   const struct crash_reporter *others)
 {
 	for (uint32_t i = 0; i < list->count; i++)
 		if (is_same(&list->crashes[i], crash))
 			return 0;
 	if (list->count == CRASH_LIST_MAX)
-		remove_at(list, oldest_of(list));
+		remove_at(list, choose_victim(list, others));
 	list->crashes[list->count++] = *crash;
 	return 1;
 }
--- a/policy/crash_list.h
+++ b/policy/crash_list.h
@@ -12,7 +12,7 @@
  * A request that ran to an answer is cleared, but not by a failure: servers
  * give one without running it. Pure and bounded.
  */
-#define CRASH_LIST_MAX 16
+#define CRASH_LIST_MAX 64
 
 /* Crashes after which a request is refused; the platform allows three. */
 #define CRASHES_MAX 3
@@ -38,8 +38,19 @@
 
 void crash_list_init(struct crash_list *list);
 
-/* Returns whether it is a crash of its own. The oldest gives way. */
-int crash_list_add(struct crash_list *list, const struct crash *crash);
+/* Who knows which requests others suspect, too. */
+struct crash_reporter {
+	int (*reports)(const struct crash_reporter *reporter, uint64_t request);
+};
+
+/*
+ * Returns whether it is a crash of its own. From a full list the oldest crash
+ * goes of a request with the fewest crashes there that nobody else reports:
+ * the many runs that one lost server cuts must not drive out the request that
+ * ends servers. `others` may be NULL.
+ */
+int crash_list_add(struct crash_list *list, const struct crash *crash,
+		   const struct crash_reporter *others);
 
 /* The request ran to an answer; returns whether it was listed. */
 int crash_list_clear(struct crash_list *list, uint64_t request);
