policy: remember for an hour what crashed servers, and refuse it longer

Cause: 30 s after its last crash all was forgotten, so that three crashes were free again. One that came less than twice a minute was never counted three times.

Change: a crash counts for an hour. The first refusal still lasts 30 s, so that a sound request whose servers were lost in one outage is soon tried again and cleared by its answer. Each crash that comes as long after the one before makes the refusal eight times as long, up to 16 minutes: 30 s, 4 min, 16 min.

The case "long ago, and now" of test-crashes and the end of OfOneRequest- AtSeveralHostsAddUp demanded that 30 s forget a crash. They now demand an hour, and that the request may be tried once 30 s after its third crash.

Result: Crashes.OfARequestThatComesAgainAndAgainBecomeRare (a try each second for six hours at four hosts: at most one crash for each refusal of 16 minutes and six at first, four within the first minute) fails with the old policy and passes.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -68,7 +68,7 @@
 
 	crash_board_tally(board_of(watch), request, now_ms(watch), &tally);
 	refused_ms = crash_tally_refused_ms(&tally);
-	if (refused_ms <= 0)
+	if (!refused_ms)
 		return 0;
 	counter_add(watch->refused, 1);
 	report(watch, "refused", request, id, NULL, tally.count, NULL);
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -165,10 +165,26 @@
 			tally_one(tally, &list->crashes[i]);
 }
 
+/* No one outage took both servers, or the later one after a refusal. */
+static int is_apart(const struct crash_tally *tally, uint32_t i)
+{
+	return tally->crashes[i].at_ms - tally->crashes[i - 1].at_ms >=
+	       CRASH_REFUSAL_FIRST_MS;
+}
+
 int64_t crash_tally_refused_ms(const struct crash_tally *tally)
 {
+	int64_t refusal_ms = CRASH_REFUSAL_FIRST_MS;
+	int64_t left_ms;
+
 	if (tally->count < CRASHES_MAX)
 		return 0;
-	return tally->crashes[tally->count - 1].at_ms + CRASH_MEMORY_MS -
-	       tally->now_ms;
+	for (uint32_t i = 1; i < tally->count; i++)
+		if (is_apart(tally, i) && refusal_ms < CRASH_REFUSAL_MAX_MS)
+			refusal_ms *= CRASH_REFUSAL_FACTOR;
+	if (refusal_ms > CRASH_REFUSAL_MAX_MS)
+		refusal_ms = CRASH_REFUSAL_MAX_MS;
+	left_ms = tally->crashes[tally->count - 1].at_ms + refusal_ms -
+		  tally->now_ms;
+	return left_ms > 0 ? left_ms : 0;
 }
--- a/policy/crash_list.h
+++ b/policy/crash_list.h
@@ -16,8 +16,17 @@
 
 /* Crashes after which a request is refused; the platform allows three. */
 #define CRASHES_MAX 3
-/* A server that crashed is back after seconds; callers wait for less. */
-#define CRASH_MEMORY_MS 30000
+/*
+ * How long it is refused: first until the servers are back that it took down,
+ * longer by this factor for each crash that came as long after the one before,
+ * as one does that ends the try after a refusal. An answer to such a try
+ * clears a sound request.
+ */
+#define CRASH_REFUSAL_FIRST_MS 30000
+#define CRASH_REFUSAL_FACTOR 8
+#define CRASH_REFUSAL_MAX_MS (16 * 60 * 1000)
+/* Longer than three of the longest refusals, so that none starts anew. */
+#define CRASH_MEMORY_MS (60 * 60 * 1000)
 /*
  * One server that is lost cuts all runs of a request at once. Less than it
  * needs to come back.
