forward: count servers that end without a word under a request

Cause: a server that goes dark resets no connection. Its runs are given up at the end of their time, or their callers leave first, and nothing was counted, however often such a request came.

Change: a host remembers the last 64 runs that it gave up while their server seemed to live. If the server's entry goes within ten seconds, or tells of another start, and the server did not say that it leaves, the run counts as a crash. The runs that lose against another try of a request that is answered are not remembered: the answer clears the request.

Result: Forward.CountsServersThatEndInSilence (gone, back under its id, leaves as planned, slow, gone later but had answered) fails in its first two cases without the memory and passes.

--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -370,7 +370,7 @@
 	init_callers(daemon);
 	init_status(daemon);
 	crash_watch_init(&daemon->crash_watch, &daemon->discovery,
-			 &daemon->reactor.clock, &daemon->log,
+			 &daemon->fleet, &daemon->reactor.clock, &daemon->log,
 			 &daemon->counters);
 	daemon->forwarder.crashes = &daemon->crash_watch;
 	if (settings.reports_usage)
@@ -394,6 +394,7 @@
 void entry_daemon_finish(struct entry_daemon *daemon)
 {
 	forwarder_finish(&daemon->forwarder);
+	crash_watch_finish(&daemon->crash_watch);
 	batch_api_finish(&daemon->batch_api);
 	batch_runner_finish(&daemon->batch_runner);
 	partition_keeper_finish(&daemon->partition_keeper);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -31,6 +31,16 @@
 	fleet->listeners = listener;
 }
 
+void fleet_remove_listener(struct fleet *fleet, struct fleet_listener *listener)
+{
+	struct fleet_listener **at = &fleet->listeners;
+
+	while (*at && *at != listener)
+		at = &(*at)->next;
+	if (*at)
+		*at = listener->next;
+}
+
 static void tell_changed(struct fleet *fleet, struct fleet_server *server)
 {
 	for (struct fleet_listener *l = fleet->listeners; l; l = l->next)
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -66,6 +66,8 @@
 void fleet_init(struct fleet *fleet);
 void fleet_finish(struct fleet *fleet);
 void fleet_add_listener(struct fleet *fleet, struct fleet_listener *listener);
+void fleet_remove_listener(struct fleet *fleet,
+			   struct fleet_listener *listener);
 
 /* Takes over an entry, whose memory it takes; an older one is ignored. */
 void fleet_put(struct fleet *fleet, struct server_entry *entry,
--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -4,20 +4,71 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/alloc.h"
+#include "base/container_of.h"
 #include "base/hash.h"
 
+/*
+ * A server that ends without a word loses its entry after three intervals of
+ * some 1.2 s; a host that reads the store knows soon after.
+ */
+#define SERVER_END_KNOWN_NS (10 * NS_PER_S)
+
+static void on_server_changed(struct fleet_listener *listener,
+			      struct fleet_server *server)
+{
+	(void)listener;
+	(void)server;
+}
+
+static int is_at_server(const struct crash_unanswered *run, const char *server,
+			int64_t now_ns)
+{
+	return run->at_ns && now_ns - run->at_ns < SERVER_END_KNOWN_NS &&
+	       !strcmp(run->server, server);
+}
+
+/* Its entry is gone, or tells of another start. */
+static void on_server_removed(struct fleet_listener *listener,
+			      struct fleet_server *server)
+{
+	struct crash_watch *watch =
+		container_of(listener, struct crash_watch, servers);
+	int64_t now_ns = clock_now_ns(watch->clock);
+
+	if (server->entry.leaving || server->saw_leaving)
+		return;
+	for (uint32_t i = 0; i < CRASH_UNANSWERED_MAX; i++) {
+		struct crash_unanswered *run = &watch->unanswered[i];
+
+		if (!is_at_server(run, server->entry.id, now_ns))
+			continue;
+		run->at_ns = 0;
+		crash_watch_cut(watch, run->request, run->id, run->server);
+	}
+}
+
 void crash_watch_init(struct crash_watch *watch, struct discovery *discovery,
-		      struct clock *clock, struct record_log *log,
-		      struct counter_set *counters)
+		      struct fleet *fleet, struct clock *clock,
+		      struct record_log *log, struct counter_set *counters)
 {
 	memset(watch, 0, sizeof(*watch));
 	watch->discovery = discovery;
+	watch->fleet = fleet;
+	watch->servers.changed = on_server_changed;
+	watch->servers.removed = on_server_removed;
+	fleet_add_listener(fleet, &watch->servers);
 	watch->clock = clock;
 	watch->log = log;
 	watch->crashes = counter_get(counters, "request_crashes_total");
 	watch->refused = counter_get(counters, "request_crash_refusals_total");
 }
 
+void crash_watch_finish(struct crash_watch *watch)
+{
+	fleet_remove_listener(watch->fleet, &watch->servers);
+}
+
 static int64_t now_ms(const struct crash_watch *watch)
 {
 	return clock_wall_ms(watch->clock);
@@ -95,6 +146,19 @@
 	discovery_tell_crashes(watch->discovery);
 }
 
+void crash_watch_unanswered(struct crash_watch *watch, uint64_t request,
+			    const char *id, const char *server)
+{
+	struct crash_unanswered *run =
+		&watch->unanswered[watch->next_unanswered++ %
+				   CRASH_UNANSWERED_MAX];
+
+	run->request = request;
+	run->at_ns = clock_now_ns(watch->clock);
+	copy_text(run->id, sizeof(run->id), id);
+	copy_text(run->server, sizeof(run->server), server);
+}
+
 void crash_watch_not_counted(struct crash_watch *watch, uint64_t request,
 			     const char *id, const char *server,
 			     const char *reason)
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -3,14 +3,30 @@
 
 #include "base/record_log.h"
 #include "discovery/discovery.h"
+#include "fleet/fleet.h"
 #include "policy/crash_list.h"
 
+/* Runs that a host remembers to have got no answer; the oldest gives way. */
+#define CRASH_UNANSWERED_MAX 64
+
+/* A run that ended without an answer, while its server seemed to live. */
+struct crash_unanswered {
+	uint64_t request;
+	int64_t at_ns; /* 0: not used */
+	char id[SERVER_ID_BYTES]; /* of the request, for the log */
+	char server[SERVER_ID_BYTES];
+};
+
 /*
  * Refuses requests that crash backend servers, by what this host and the
  * others have seen. See policy/crash_list.h and discovery/crash_board.h.
  */
 struct crash_watch {
 	struct discovery *discovery;
+	struct fleet *fleet;
+	struct fleet_listener servers;
+	struct crash_unanswered unanswered[CRASH_UNANSWERED_MAX];
+	uint32_t next_unanswered;
 	struct clock *clock;
 	struct record_log *log;
 	struct counter *crashes;
@@ -18,8 +34,9 @@
 };
 
 void crash_watch_init(struct crash_watch *watch, struct discovery *discovery,
-		      struct clock *clock, struct record_log *log,
-		      struct counter_set *counters);
+		      struct fleet *fleet, struct clock *clock,
+		      struct record_log *log, struct counter_set *counters);
+void crash_watch_finish(struct crash_watch *watch);
 
 /* Whether no host suspects any request: then none needs to be hashed. */
 int crash_watch_is_idle(const struct crash_watch *watch);
@@ -38,6 +55,13 @@
 /* Whether this host suspects any request; else no answer clears one. */
 int crash_watch_suspects_any(const struct crash_watch *watch);
 
+/*
+ * The request was given up while it may have run at the server: it is a crash
+ * if the server turns out to have ended.
+ */
+void crash_watch_unanswered(struct crash_watch *watch, uint64_t request,
+			    const char *id, const char *server);
+
 /*
  * A run ended without an answer, and is not taken for a crash. `reason` is a
  * constant, for the log.
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -187,6 +187,18 @@
 		runs->add(runs, forward->team->name, try->began_wall_ms);
 }
 
+/* Their servers may have ended without a word. */
+static void note_unanswered(const struct forward *forward)
+{
+	struct crash_watch *watch = forward->forwarder->crashes;
+
+	if (!watch)
+		return;
+	for (const struct forward_try *t = forward->tries; t; t = t->next)
+		crash_watch_unanswered(watch, forward_hash(forward),
+				       forward->caller.id, t->server->entry.id);
+}
+
 /* A try that is cancelled has mostly begun to run. */
 static void cancel_tries(struct forward *forward,
 			 const struct forward_try *except)
@@ -321,6 +333,7 @@
 	for (struct forward_try *try = forward->tries; try; try = try->next)
 		circuit_failed(&try->server->circuit, &forward->forwarder->rng,
 			       now_ns(forward));
+	note_unanswered(forward);
 	cancel_tries(forward, NULL);
 	if (forward->may_have_run)
 		refuse_unknown(forward, 504, "timeout",
@@ -348,6 +361,7 @@
 
 	report_answer(forward, "abandoned", 0, "caller_gone");
 	counter_add(forward->forwarder->abandoned, 1);
+	note_unanswered(forward);
 	cancel_tries(forward, NULL);
 	free_forward(forward);
 }
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -172,13 +172,16 @@
 		counter_set_init(&counters_);
 		discovery_init(&discovery_, topics->log(), &time->timers, &own,
 			       nullptr, &counters_);
-		crash_watch_init(&watch, &discovery_, &time->clock.base,
-				 nullptr, &counters_);
+		fleet_init(&fleet_);
+		crash_watch_init(&watch, &discovery_, &fleet_,
+				 &time->clock.base, nullptr, &counters_);
 		discovery_start(&discovery_);
 	}
 
 	~Host()
 	{
+		crash_watch_finish(&watch);
+		fleet_finish(&fleet_);
 		discovery_finish(&discovery_);
 		counter_set_finish(&counters_);
 	}
@@ -198,6 +201,7 @@
 
       private:
 	struct discovery discovery_;
+	struct fleet fleet_;
 	struct counter_set counters_;
 };
 
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -659,19 +659,21 @@
 
 // What the hosts know of requests that crash servers, of one host.
 struct Crashes {
-	Crashes(TestReactor *loop, struct counter_set *counters)
+	Crashes(TestReactor *loop, struct fleet *fleet,
+		struct counter_set *counters)
 	    : topics(&loop->reactor.timers)
 	{
 		struct entry_host own = {};
 
 		discovery_init(&discovery, topics.log(), &loop->reactor.timers,
 			       &own, nullptr, counters);
-		crash_watch_init(&watch, &discovery, &loop->reactor.clock,
-				 nullptr, counters);
+		crash_watch_init(&watch, &discovery, fleet,
+				 &loop->reactor.clock, nullptr, counters);
 	}
 
 	~Crashes()
 	{
+		crash_watch_finish(&watch);
 		discovery_finish(&discovery);
 	}
 
@@ -706,7 +708,7 @@
 	configure();
 	for (const KeptCase &c : cases) {
 		SCOPED_TRACE(c.name);
-		Crashes crashes(&loop_, &counters_);
+		Crashes crashes(&loop_, &fleet_, &counters_);
 		int64_t before = counter_value(crashes.watch.crashes);
 		bool reached = false;
 		FakeServer *server;
@@ -741,6 +743,57 @@
 	}
 }
 
+namespace
+{
+
+struct SilentCase {
+	const char *name;
+	const char *path;
+	enum { DROPPED, RESTARTED, LEAVES, STAYS } then;
+	bool answers; // the server, in the end
+	int64_t crashes;
+};
+
+} // namespace
+
+// A server that is gone without a word resets no connection.
+TEST_F(Forward, CountsServersThatEndInSilence)
+{
+	const SilentCase cases[] = {
+		{ "gone", "/o/bad", SilentCase::DROPPED, false, 1 },
+		{ "back under its id", "/o/bad", SilentCase::RESTARTED, false,
+		  1 },
+		{ "leaves as planned", "/o/bad", SilentCase::LEAVES, false, 0 },
+		{ "is slow", "/o/bad", SilentCase::STAYS, false, 0 },
+		{ "gone later, and had answered", "/o/bad", SilentCase::DROPPED,
+		  true, 0 },
+	};
+
+	configure();
+	for (const SilentCase &c : cases) {
+		SCOPED_TRACE(c.name);
+		Crashes crashes(&loop_, &fleet_, &counters_);
+		int64_t before = counter_value(crashes.watch.crashes);
+		std::string id = "a" + std::to_string(&c - cases);
+		FakeServer *server = add(id, c.answers ? reply() : hang());
+
+		forwarder_.crashes = &crashes.watch;
+		EXPECT_EQ(c.answers ? 200 : 504, status(ask(request(c.path))));
+		if (c.then == SilentCase::LEAVES)
+			server->join(&fleet_, "s", "", 1, true);
+		if (c.then == SilentCase::RESTARTED)
+			put_server(&fleet_, 2, id, "127.0.0.1:1", "s");
+		if (c.then != SilentCase::STAYS)
+			fleet_drop(&fleet_, id.c_str(), 9,
+				   reactor_now_ns(&loop_.reactor));
+		EXPECT_EQ(c.crashes,
+			  counter_value(crashes.watch.crashes) - before);
+		forwarder_.crashes = nullptr;
+		fleet_drop(&fleet_, id.c_str(), 10,
+			   reactor_now_ns(&loop_.reactor));
+	}
+}
+
 // A server that is half sound fails requests that it has not run.
 TEST_F(Forward, AFailureDoesNotClearARequestThatCrashesServers)
 {
@@ -759,7 +812,7 @@
 	configure();
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		Crashes crashes(&loop_, &counters_);
+		Crashes crashes(&loop_, &fleet_, &counters_);
 		bool cuts = true;
 
 		forwarder_.crashes = &crashes.watch;
@@ -780,7 +833,7 @@
 // A caller sends a request that takes each server down, again and again.
 TEST_F(Forward, RefusesARequestThatCrashesServers)
 {
-	Crashes crashes(&loop_, &counters_);
+	Crashes crashes(&loop_, &fleet_, &counters_);
 	std::string answer;
 	size_t reached = 0;
 
