forward: start no second try of a request that is refused by now

Cause: a second try of a slow request was started without asking whether the request had meanwhile ended three servers at other hosts.

Change: ask, as every other try does.

Result: Forward.StartsNoSecondTryOfARequestThatCrashesServers failed before (two servers were asked, one allowed) and passes; a slow request that nobody suspects still gets its second try.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -351,7 +351,7 @@
 	(void)at_ns;
 	if (forward->begun || forward->sent >= forward->route->max_attempts)
 		return;
-	if (try_another(forward))
+	if (!crash_refusal_ns(forward) && try_another(forward))
 		counter_add(forward->forwarder->second_tries, 1);
 }
 
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -12,6 +12,7 @@
 
 extern "C" {
 #include "base/alloc.h"
+#include "base/hash.h"
 #include "entry/caller_port.h"
 #include "platform/config_decode.h"
 }
@@ -794,6 +795,38 @@
 	}
 }
 
+// Other hosts' crashes became known while the first try hangs.
+TEST_F(Forward, StartsNoSecondTryOfARequestThatCrashesServers)
+{
+	for (bool crashed : { false, true }) {
+		SCOPED_TRACE(crashed);
+		Crashes crashes(&loop_, &fleet_, &counters_);
+		std::string path = crashed ? "/i/bad" : "/i/slow";
+		RawCaller caller(net_server_port(&server_));
+		uint64_t hash = hash_text(path.c_str(), hash_text("red", 0));
+		size_t before;
+
+		hash = hash_bytes("body", 4, hash);
+		configure();
+		forwarder_.crashes = &crashes.watch;
+		if (servers_.empty())
+			for (const char *id : { "a", "b" })
+				add(id, hang());
+		before = (size_t)asked();
+		caller.send(request(path));
+		ASSERT_TRUE(loop_.run_until(
+			[&] { return (size_t)asked() > before; }));
+		for (const char *server : { "x", "y", "z" })
+			if (crashed)
+				crash_watch_cut(&crashes.watch, hash, "id",
+						server);
+		ASSERT_TRUE(loop_.run_until(
+			[&] { return http_is_whole(caller.received()); }));
+		EXPECT_EQ(before + (crashed ? 1 : 2), (size_t)asked());
+		forwarder_.crashes = nullptr;
+	}
+}
+
 // A server that is half sound fails requests that it has not run.
 TEST_F(Forward, AFailureDoesNotClearARequestThatCrashesServers)
 {
