policy: let an answer at any host clear a request

Cause: an answer cleared what its own host had listed. Since crashes count for an hour, a sound request whose servers were lost in an outage would stay near its refusal at the other hosts, and the next single loss would refuse it again.

Change: an answer is listed too, if any host lists a crash of the request that no later answer has cleared: so it is written once, not for each answer. Crashes before the newest answer do not count.

Result: Crashes.AnAnswerAtAnyHostClearsARequest (crashes at three hosts, the answer at a fourth; 100 further answers write nothing; the next crash is the first one) passes; it takes the place of AnAnswerTakesAHostsCountBack, whose case, three hosts and an answer at one of them, it holds with more crashes. Before, the answer at the fourth host changed nothing.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -79,11 +79,6 @@
 	return &watch->discovery->crashes;
 }
 
-int crash_watch_suspects_any(const struct crash_watch *watch)
-{
-	return board_of(watch)->own.count > 0;
-}
-
 int crash_watch_is_idle(const struct crash_watch *watch)
 {
 	return crash_board_is_idle(board_of(watch), now_ms(watch));
@@ -122,7 +117,8 @@
 	if (!refused_ms)
 		return 0;
 	counter_add(watch->refused, 1);
-	report(watch, "refused", request, id, NULL, tally.count, NULL);
+	report(watch, "refused", request, id, NULL, crash_tally_count(&tally),
+	       NULL);
 	return refused_ms * NS_PER_MS;
 }
 
@@ -167,13 +163,24 @@
 	       own_crashes(watch, request), reason);
 }
 
+/* A host that names the request as a suspect learns that it was answered. */
 void crash_watch_answered(struct crash_watch *watch, uint64_t request,
 			  const char *id, const char *server)
 {
-	uint32_t crashes = own_crashes(watch, request);
+	struct crash_board *board = board_of(watch);
+	const struct crash answered = {
+		.request = request,
+		.server = CRASH_ANSWERED,
+		.at_ms = now_ms(watch),
+	};
+	struct crash_tally tally;
 
-	if (!crash_list_clear(&board_of(watch)->own, request))
+	crash_board_tally(board, request, answered.at_ms, &tally);
+	if (!crash_tally_count(&tally))
 		return;
-	report(watch, "cleared", request, id, server, crashes, "answer");
+	crash_list_clear(&board->own, request);
+	crash_board_note(board, &answered);
+	report(watch, "cleared", request, id, server, crash_tally_count(&tally),
+	       "answer");
 	discovery_tell_crashes(watch->discovery);
 }
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -52,9 +52,6 @@
 void crash_watch_cut(struct crash_watch *watch, uint64_t request,
 		     const char *id, const char *server);
 
-/* Whether this host suspects any request; else no answer clears one. */
-int crash_watch_suspects_any(const struct crash_watch *watch);
-
 /*
  * The request was given up while it may have run at the server: it is a crash
  * if the server turns out to have ended.
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -123,7 +123,7 @@
 	if (outcome == ATTEMPT_LOST && net == NET_CUT)
 		crash_watch_cut(watch, forward_hash(forward),
 				forward->caller.id, try->server->entry.id);
-	else if (outcome == ATTEMPT_ANSWERED && crash_watch_suspects_any(watch))
+	else if (outcome == ATTEMPT_ANSWERED && !crash_watch_is_idle(watch))
 		crash_watch_answered(watch, forward_hash(forward),
 				     forward->caller.id, try->server->entry.id);
 }
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -131,6 +131,7 @@
 	memset(tally, 0, sizeof(*tally));
 	tally->request = request;
 	tally->now_ms = now_ms;
+	tally->answered_ms = INT64_MIN;
 }
 
 /* In order of time; the oldest one falls out of a full tally. */
@@ -159,10 +160,33 @@
 
 void crash_tally_add(struct crash_tally *tally, const struct crash_list *list)
 {
-	for (uint32_t i = 0; i < list->count; i++)
-		if (list->crashes[i].request == tally->request &&
-		    counts(&list->crashes[i], tally->now_ms))
-			tally_one(tally, &list->crashes[i]);
+	for (uint32_t i = 0; i < list->count; i++) {
+		const struct crash *crash = &list->crashes[i];
+
+		if (crash->request != tally->request ||
+		    !counts(crash, tally->now_ms))
+			continue;
+		if (crash->server != CRASH_ANSWERED)
+			tally_one(tally, crash);
+		else if (crash->at_ms > tally->answered_ms)
+			tally->answered_ms = crash->at_ms;
+	}
+}
+
+/* Index of the first crash since the request was answered. */
+static uint32_t first_that_counts(const struct crash_tally *tally)
+{
+	uint32_t i = 0;
+
+	while (i < tally->count &&
+	       tally->crashes[i].at_ms <= tally->answered_ms)
+		i++;
+	return i;
+}
+
+uint32_t crash_tally_count(const struct crash_tally *tally)
+{
+	return tally->count - first_that_counts(tally);
 }
 
 /* No one outage took both servers, or the later one after a refusal. */
@@ -177,9 +201,9 @@
 	int64_t refusal_ms = CRASH_REFUSAL_FIRST_MS;
 	int64_t left_ms;
 
-	if (tally->count < CRASHES_MAX)
+	if (crash_tally_count(tally) < CRASHES_MAX)
 		return 0;
-	for (uint32_t i = 1; i < tally->count; i++)
+	for (uint32_t i = first_that_counts(tally) + 1; i < tally->count; i++)
 		if (is_apart(tally, i) && refusal_ms < CRASH_REFUSAL_MAX_MS)
 			refusal_ms *= CRASH_REFUSAL_FACTOR;
 	if (refusal_ms > CRASH_REFUSAL_MAX_MS)
--- a/policy/crash_list.h
+++ b/policy/crash_list.h
@@ -33,10 +33,13 @@
  */
 #define CRASH_APART_MS 500
 
-/* A server was lost while it ran a request. */
+/* The `server` of a request that was answered. */
+#define CRASH_ANSWERED 0
+
+/* A server was lost while it ran a request, or answered it after all. */
 struct crash {
 	uint64_t request; /* hash */
-	uint64_t server; /* hash of its id */
+	uint64_t server; /* hash of its id, or CRASH_ANSWERED */
 	int64_t at_ms; /* wall clock of the host that saw it */
 };
 
@@ -82,12 +85,16 @@
 	int64_t now_ms;
 	struct crash crashes[CRASH_TALLY_MAX]; /* the newest, oldest first */
 	uint32_t count;
+	int64_t answered_ms; /* crashes until then mean nothing */
 };
 
 void crash_tally_init(struct crash_tally *tally, uint64_t request,
 		      int64_t now_ms);
 void crash_tally_add(struct crash_tally *tally, const struct crash_list *list);
 
+/* How many crashes there are since the request was answered last. */
+uint32_t crash_tally_count(const struct crash_tally *tally);
+
 /* How long the request is still to be refused; 0: it may run. */
 int64_t crash_tally_refused_ms(const struct crash_tally *tally);
 
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -140,11 +140,11 @@
 	for (uint64_t host = 0; host < 3; host++) {
 		crash_list_init(&lists[host]);
 		for (uint64_t i = 0; i < 4; i++)
-			add(&lists[host], 7, 10 * host + i,
+			add(&lists[host], 7, 10 * host + i + 1,
 			    (int64_t)(3000 - 1000 * host + 10 * i));
 	}
 	// Two hosts have seen the same server go.
-	add(&lists[0], 7, 20, 1100);
+	add(&lists[0], 7, 21, 1100);
 	crash_tally_init(&tally, 7, 4000);
 	for (const struct crash_list &list : lists)
 		crash_tally_add(&tally, &list);
@@ -191,6 +191,11 @@
 		crash_watch_cut(&watch, request, "id", server);
 	}
 
+	void answered(uint64_t request)
+	{
+		crash_watch_answered(&watch, request, "id", "server");
+	}
+
 	int64_t refuses_ms(uint64_t request)
 	{
 		return crash_watch_refuses_ns(&watch, request, "id") /
@@ -269,16 +274,34 @@
 	EXPECT_GT(crashes, end_ms / CRASH_REFUSAL_MAX_MS / 2);
 }
 
-// Three hosts have seen a cut of a request that many callers send; where it
-// was answered since, the cut does not count.
-TEST_F(Crashes, AnAnswerTakesAHostsCountBack)
+// Hosts have seen servers go under a request that many callers send.
+TEST_F(Crashes, AnAnswerAtAnyHostClearsARequest)
 {
+	int before;
+
 	for (int i = 0; i < 3; i++)
-		hosts_[i]->cut(7);
-	crash_watch_answered(&hosts_[0]->watch, 7, "id", "server");
+		hosts_[i]->cut(7, i ? "s1" : "s2");
+	hosts_[0]->cut(7, "s3");
+	time_.run(2000);
+	for (auto &host : hosts_)
+		EXPECT_GT(host->refuses_ms(7), 0);
+	hosts_[3]->answered(7);
 	time_.run(2000);
 	for (auto &host : hosts_)
 		EXPECT_EQ(0, host->refuses_ms(7));
+	// The next answers are no news, and the next crash is the first one.
+	before = topics_.appends;
+	for (int i = 0; i < 100; i++)
+		hosts_[i % 4]->answered(7);
+	EXPECT_EQ(before, topics_.appends);
+	hosts_[1]->cut(7, "s1");
+	hosts_[1]->cut(7, "s4");
+	time_.run(2000);
+	EXPECT_EQ(0, hosts_[1]->refuses_ms(7));
+	hosts_[2]->cut(7, "s5");
+	time_.run(2000);
+	for (auto &host : hosts_)
+		EXPECT_GT(host->refuses_ms(7), 0);
 }
 
 TEST_F(Crashes, AreCountedWhileTheStoreIsAway)
@@ -369,7 +392,7 @@
 	start();
 	time_.run(1000);
 	for (auto &host : hosts_)
-		EXPECT_FALSE(crash_watch_suspects_any(&host->watch));
+		EXPECT_TRUE(crash_watch_is_idle(&host->watch));
 }
 
 // A server that is lost cuts many sound requests beside the one that ends
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -846,8 +846,12 @@
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
 		Crashes crashes(&loop_, &fleet_, &counters_);
+		uint64_t hash = hash_text("/o/bad", hash_text("red", 0));
+		struct crash_tally tally;
 		bool cuts = true;
 
+		hash = hash_bytes("body", 4, hash);
+
 		forwarder_.crashes = &crashes.watch;
 		servers_.clear();
 		fleet_finish(&fleet_);
@@ -855,10 +859,14 @@
 		add("a",
 		    [&](const ServerSaw &) { return cuts ? cut() : c.reply; });
 		ASSERT_EQ(502, status(ask(request("/o/bad"))));
-		ASSERT_TRUE(crash_watch_suspects_any(&crashes.watch));
+		crash_board_tally(&crashes.discovery.crashes, hash,
+				  wall_now_ms(), &tally);
+		ASSERT_EQ(1u, crash_tally_count(&tally));
 		cuts = false;
 		EXPECT_EQ(c.reply.status, status(ask(request("/o/bad"))));
-		EXPECT_EQ(!c.clears, crash_watch_suspects_any(&crashes.watch));
+		crash_board_tally(&crashes.discovery.crashes, hash,
+				  wall_now_ms(), &tally);
+		EXPECT_EQ(c.clears ? 0u : 1u, crash_tally_count(&tally));
 		forwarder_.crashes = nullptr;
 	}
 }
