--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -274,6 +274,18 @@
 	EXPECT_GT(crashes, end_ms / CRASH_REFUSAL_MAX_MS / 2);
 }
 
+// Three hosts have seen a cut of a request that many callers send; where it
+// was answered since, the cut does not count.
+TEST_F(Crashes, AnAnswerTakesAHostsCountBack)
+{
+	for (int i = 0; i < 3; i++)
+		hosts_[i]->cut(7);
+	hosts_[0]->answered(7);
+	time_.run(2000);
+	for (auto &host : hosts_)
+		EXPECT_EQ(0, host->refuses_ms(7));
+}
+
 // Hosts have seen servers go under a request that many callers send.
 TEST_F(Crashes, AnAnswerAtAnyHostClearsARequest)
 {
