policy: try servers that all failed once more after half a second

What callers saw, in a system like this one: after a burst of failures all was calm, and an item was not placed again; single requests would be refused as long.

Cause: a circuit that stays open doubles its time up to 32 s. Where a host was cut off from all servers and these did not restart, it went on waiting for as long as the cut had lasted, though every server was there again. The doubling is meant to spare requests the one bad server among others.

Change: where no server of the service is usable, one whose circuit opened half a second ago or earlier may be probed: for items, reward calls and single requests alike. One request at a time goes to each; the others are refused at once as before.

--- a/batch/item_run.c
+++ b/batch/item_run.c
@@ -246,7 +246,7 @@
 	if (run->next)
 		run->next->at = &run->next;
 	owner->runs = run;
-	circuit_begin(&engine->server->circuit, run->began_ns);
+	circuit_begin_last_resort(&engine->server->circuit, run->began_ns);
 	engine->running++;
 	engine->memory_tokens += run->memory_tokens;
 	engine->server->running++;
--- a/batch/reward_call.c
+++ b/batch/reward_call.c
@@ -135,7 +135,7 @@
 	item->reward = call;
 	item->reward_calls++;
 	server->running++;
-	circuit_begin(&server->circuit, call->began_ns);
+	circuit_begin_last_resort(&server->circuit, call->began_ns);
 	strbuf_init(&call->head);
 	write_head(call, timeout_ns);
 	call->net.vt = &call_vtable;
--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -154,10 +154,24 @@
 	return service->memory_tokens * MEMORY_PART - engine->memory_tokens;
 }
 
+/* Whether the engine could make the item's next events, full or not. */
+static int can_run(const struct batch_runner *runner,
+		   const struct run_item *item,
+		   const struct engine_state *engine, int last_resort)
+{
+	const struct fleet_server *server = engine->server;
+	int64_t now_ns = runner_now_ns(runner);
+	int takes = last_resort ? fleet_server_is_last_resort(server, now_ns)
+				: fleet_server_usable(server, now_ns);
+
+	return takes && now_ns >= engine->suspect_until_ns &&
+	       version_fits(item, engine, runner_model(item));
+}
+
 static void view_engine(struct batch_runner *runner,
 			const struct run_item *item,
 			const struct engine_list *list,
-			const struct engine_state *engine,
+			const struct engine_state *engine, int last_resort,
 			struct place_engine *view)
 {
 	const struct fleet_server *server = engine->server;
@@ -168,10 +182,8 @@
 	view->slots = server->entry.slots;
 	view->running = engine->running;
 	view->waiting = 0;
-	view->usable = fleet_server_usable(server, now_ns) &&
-		       now_ns >= engine->suspect_until_ns &&
+	view->usable = can_run(runner, item, engine, last_resort) &&
 		       engine->running < server->entry.slots &&
-		       version_fits(item, engine, model) &&
 		       !engine_state_is_blocked(engine, model, now_ns);
 	view->memory_tokens = free_memory(engine, list->service);
 	view->speed =
@@ -183,6 +195,17 @@
 	view->failed_it = item->failed_at == hash_text(server->entry.id, 0);
 }
 
+/* Whether no engine could run the item, were it not for their failures. */
+static int is_last_resort(const struct batch_runner *runner,
+			  const struct run_item *item,
+			  const struct engine_list *list)
+{
+	for (uint32_t i = 0; i < list->count; i++)
+		if (can_run(runner, item, list->engines[i], 0))
+			return 0;
+	return 1;
+}
+
 struct engine_state *runner_choose_engine(struct batch_runner *runner,
 					  const struct run_item *item,
 					  const struct engine_list *list,
@@ -193,10 +216,12 @@
 	struct place_engine views[CHOICE_ENGINES_MAX];
 	struct place_item place = { .tokens_left = need->tokens_left,
 				    .memory_tokens = need->memory_tokens };
+	int last_resort = is_last_resort(runner, item, list);
 	int32_t chosen;
 
 	for (uint32_t i = 0; i < list->count; i++) {
-		view_engine(runner, item, list, list->engines[i], &views[i]);
+		view_engine(runner, item, list, list->engines[i], last_resort,
+			    &views[i]);
 		if (list->engines[i] == except)
 			views[i].usable = 0;
 	}
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -236,8 +236,19 @@
 	server->load.seen_ns = now_ns;
 }
 
+static int takes_work(const struct fleet_server *server)
+{
+	return !server->gone && !server->entry.leaving && !server->saw_leaving;
+}
+
 int fleet_server_usable(const struct fleet_server *server, int64_t now_ns)
 {
-	return !server->gone && !server->entry.leaving &&
-	       !server->saw_leaving && circuit_allows(&server->circuit, now_ns);
+	return takes_work(server) && circuit_allows(&server->circuit, now_ns);
+}
+
+int fleet_server_is_last_resort(const struct fleet_server *server,
+				int64_t now_ns)
+{
+	return takes_work(server) &&
+	       circuit_allows_last_resort(&server->circuit, now_ns);
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -107,4 +107,8 @@
 /* Whether new work may be sent to it now. */
 int fleet_server_usable(const struct fleet_server *server, int64_t now_ns);
 
+/* Whether it may be where no server of its service is usable. */
+int fleet_server_is_last_resort(const struct fleet_server *server,
+				int64_t now_ns);
+
 #endif
--- a/fleet/plain_servers.c
+++ b/fleet/plain_servers.c
@@ -6,14 +6,18 @@
 #include "policy/choice_sample.h"
 
 static int may_take(const struct fleet_server *server,
-		    const struct plain_chooser *chooser)
+		    const struct plain_chooser *chooser, int last_resort)
 {
-	return fleet_server_usable(server, chooser->now_ns) &&
+	int takes = last_resort ? fleet_server_is_last_resort(server,
+							      chooser->now_ns)
+				: fleet_server_usable(server, chooser->now_ns);
+
+	return takes &&
 	       (!chooser->skips || !chooser->skips(chooser->arg, server));
 }
 
 static void view_server(const struct fleet_server *server,
-			const struct plain_chooser *chooser,
+			const struct plain_chooser *chooser, int last_resort,
 			struct plain_server *view)
 {
 	view->slots = server->entry.slots;
@@ -25,13 +29,13 @@
 	view->same_data_centre =
 		!strcmp(server->entry.data_centre, chooser->data_centre);
 	view->tried = 0;
-	view->usable = may_take(server, chooser);
+	view->usable = may_take(server, chooser, last_resort);
 	view->cold_left_ms = server->entry.cold_left_ms;
 }
 
-void plain_servers_list(struct plain_servers *list, const struct fleet *fleet,
-			const char *service,
-			const struct plain_chooser *chooser)
+static void list_servers(struct plain_servers *list, const struct fleet *fleet,
+			 const char *service,
+			 const struct plain_chooser *chooser)
 {
 	struct choice_sample sample;
 
@@ -40,21 +44,35 @@
 		uint64_t rank;
 		int32_t place;
 
-		if (strcmp(s->entry.service, service) || !may_take(s, chooser))
+		if (strcmp(s->entry.service, service) ||
+		    !may_take(s, chooser, list->last_resort))
 			continue;
 		rank = hash_text(s->entry.id, chooser->sample_seed);
 		place = choice_sample_place(&sample, rank);
 		if (place < 0)
 			continue;
-		view_server(s, chooser, &list->views[place]);
+		view_server(s, chooser, list->last_resort, &list->views[place]);
 		list->servers[place] = s;
 	}
 	list->count = sample.count;
 }
 
+void plain_servers_list(struct plain_servers *list, const struct fleet *fleet,
+			const char *service,
+			const struct plain_chooser *chooser)
+{
+	list->last_resort = 0;
+	list_servers(list, fleet, service, chooser);
+	if (list->count)
+		return;
+	list->last_resort = 1;
+	list_servers(list, fleet, service, chooser);
+}
+
 void plain_servers_refresh(struct plain_servers *list,
 			   const struct plain_chooser *chooser)
 {
 	for (uint32_t i = 0; i < list->count; i++)
-		view_server(list->servers[i], chooser, &list->views[i]);
+		view_server(list->servers[i], chooser, list->last_resort,
+			    &list->views[i]);
 }
--- a/fleet/plain_servers.h
+++ b/fleet/plain_servers.h
@@ -13,6 +13,7 @@
 	struct fleet_server *servers[PLAIN_SERVERS_MAX];
 	struct plain_server views[PLAIN_SERVERS_MAX];
 	uint32_t count;
+	int last_resort; /* no server is usable; these failed a while ago */
 };
 
 /* Whose choice it is. */
--- a/forward/forward_try.c
+++ b/forward/forward_try.c
@@ -228,7 +228,7 @@
 	forward->tries = try;
 	forward->running++;
 	server->running++;
-	circuit_begin(&server->circuit, try->began_ns);
+	circuit_begin_last_resort(&server->circuit, try->began_ns);
 	write_head(try);
 	try->net.vt = &try_vtable;
 	try->net.address = server->entry.address;
--- a/policy/circuit.c
+++ b/policy/circuit.c
@@ -8,6 +8,8 @@
 #define FIRST_OPEN_NS (NS_PER_S / 2)
 #define MAX_OPEN_NS (32 * NS_PER_S)
 #define PROBE_LIMIT_NS (10 * NS_PER_S)
+/* As for a first failure: a step can bear the loss of such a time. */
+#define LAST_RESORT_NS FIRST_OPEN_NS
 
 void circuit_init(struct circuit *circuit)
 {
@@ -27,6 +29,13 @@
 	return now_ns >= circuit->probe_until_ns;
 }
 
+int circuit_allows_last_resort(const struct circuit *circuit, int64_t now_ns)
+{
+	return circuit_allows(circuit, now_ns) ||
+	       (circuit->state == CIRCUIT_OPEN &&
+		now_ns - circuit->opened_ns >= LAST_RESORT_NS);
+}
+
 int circuit_begin(struct circuit *circuit, int64_t now_ns)
 {
 	if (!circuit_allows(circuit, now_ns))
@@ -38,6 +47,15 @@
 	return 1;
 }
 
+int circuit_begin_last_resort(struct circuit *circuit, int64_t now_ns)
+{
+	if (!circuit_allows_last_resort(circuit, now_ns))
+		return 0;
+	if (circuit->state == CIRCUIT_OPEN)
+		circuit->retry_at_ns = now_ns;
+	return circuit_begin(circuit, now_ns);
+}
+
 void circuit_succeeded(struct circuit *circuit)
 {
 	/* An answer from before the failures says nothing of the server now. */
@@ -59,6 +77,7 @@
 	open_ns = backoff_ns(FIRST_OPEN_NS, MAX_OPEN_NS, circuit->openings);
 	circuit->openings++;
 	circuit->state = CIRCUIT_OPEN;
+	circuit->opened_ns = now_ns;
 	/* Spread, so that daemons don't all probe in one moment. */
 	circuit->retry_at_ns =
 		now_ns + open_ns +
--- a/policy/circuit.h
+++ b/policy/circuit.h
@@ -19,6 +19,7 @@
 	enum circuit_state state;
 	uint32_t failures; /* in a row */
 	uint32_t openings; /* in a row, without a success between */
+	int64_t opened_ns;
 	int64_t retry_at_ns; /* when a probe may go */
 	int64_t probe_until_ns; /* a probe without an outcome counts as lost */
 };
@@ -28,11 +29,19 @@
 /* Whether a request may be sent now; for a half-open one: as the probe. */
 int circuit_allows(const struct circuit *circuit, int64_t now_ns);
 
+/*
+ * Whether one may be sent where all other servers fail, too. What cut off all
+ * servers for long is over at once, and the waiting times of their circuits
+ * must not outlast it.
+ */
+int circuit_allows_last_resort(const struct circuit *circuit, int64_t now_ns);
+
 /*
  * Tells that a request is sent now. Returns 0 if it may not be: a probe that
  * another thread took first.
  */
 int circuit_begin(struct circuit *circuit, int64_t now_ns);
+int circuit_begin_last_resort(struct circuit *circuit, int64_t now_ns);
 
 /* The server answered, be it with a refusal of its own. */
 void circuit_succeeded(struct circuit *circuit);
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -333,6 +333,7 @@
 {
 	const BurstCase cases[] = {
 		{ "servers restart", 6000, true },
+		{ "servers stay, cut off from the host", 10000, false },
 	};
 
 	for (const BurstCase &c : cases) {
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -655,6 +655,47 @@
 	EXPECT_LE(took_ms, 1300);
 }
 
+// A host was cut off from all servers for so long that their circuits would
+// stay open for many seconds more.
+TEST_F(Forward, TriesServersThatAllFailedOnceMore)
+{
+	const struct {
+		const char *name;
+		int open; // circuits, of two
+		int64_t open_for_ms;
+		int status;
+	} cases[] = {
+		{ "all, for a while", 2, 600, 200 },
+		{ "all, just now", 2, 100, 503 },
+		{ "one of two", 1, 600, 200 },
+		{ "none", 0, 0, 200 },
+	};
+
+	configure();
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		int64_t now_ns = reactor_now_ns(&loop_.reactor);
+
+		servers_.clear();
+		fleet_finish(&fleet_);
+		fleet_init(&fleet_);
+		add("a", reply());
+		add("b", reply());
+		for (int i = 0; i < c.open; i++) {
+			struct circuit *circuit =
+				&fleet_find(&fleet_, i ? "b" : "a")->circuit;
+
+			circuit->state = CIRCUIT_OPEN;
+			circuit->opened_ns = now_ns - c.open_for_ms * NS_PER_MS;
+			circuit->retry_at_ns = now_ns + 30 * NS_PER_S;
+		}
+		EXPECT_EQ(c.status, status(ask(request("/o/x"))));
+		if (c.open == 1) {
+			EXPECT_TRUE(servers_[0]->seen.empty());
+		}
+	}
+}
+
 namespace
 {
 
--- a/t/test-policy-health.cc
+++ b/t/test-policy-health.cc
@@ -101,6 +101,48 @@
 	}
 }
 
+// One request may go where every other server fails, too.
+TEST(Circuit, LetsOneThroughAsTheLastResort)
+{
+	const struct {
+		const char *what;
+		int64_t after_ms; // since it opened for long
+		bool probes; // another one is under way
+		int allowed;
+	} cases[] = {
+		{ "at once", 0, false, 0 },
+		{ "as soon as after a first failure", 500, false, 1 },
+		{ "beside a probe", 500, true, 0 },
+		{ "much later", 30000, false, 1 },
+	};
+
+	for (const auto &c : cases) {
+		circuit breaker;
+		rng random;
+		int64_t now = 0;
+
+		rng_init(&random, 31);
+		circuit_init(&breaker);
+		for (int i = 0; i < 12; i++) {
+			circuit_failed(&breaker, &random, now);
+			if (i < 2)
+				continue;
+			now += 60 * NS_PER_S;
+			ASSERT_TRUE(circuit_begin(&breaker, now));
+		}
+		circuit_failed(&breaker, &random, now);
+		now += c.after_ms * NS_PER_MS;
+		if (c.probes) {
+			ASSERT_TRUE(circuit_begin_last_resort(&breaker, now));
+		}
+		EXPECT_EQ(c.allowed, circuit_allows_last_resort(&breaker, now))
+			<< c.what;
+		EXPECT_FALSE(circuit_begin(&breaker, now)) << c.what;
+		EXPECT_EQ(c.allowed, circuit_begin_last_resort(&breaker, now))
+			<< c.what;
+	}
+}
+
 struct hedge_case {
 	const char *what;
 	void (*change)(hedge_sample *);
