--- a/batch/runner_rewards.c
+++ b/batch/runner_rewards.c
@@ -19,9 +19,12 @@
 #define POLL_NS (20 * NS_PER_MS)
 /* A server that refused a call gets no other one for this time. */
 #define REFUSED_PAUSE_NS (60 * NS_PER_MS)
-/* Before an item is called for again; doubled by each call in vain. */
+/*
+ * Before an item is called for again; doubled by each call in vain, and short
+ * beside what a step can bear (see CUT_PAUSE_MAX_NS in batch_runner.c).
+ */
 #define FIRST_PAUSE_NS (20 * NS_PER_MS)
-#define MAX_PAUSE_NS (2 * NS_PER_S)
+#define MAX_PAUSE_NS (500 * NS_PER_MS)
 /*
  * A whole text that waits this long for its score is noted in the log: from
  * then on losing it to the end of this daemon costs more than the note.
--- a/t/test-rewards.cc
+++ b/t/test-rewards.cc
@@ -211,6 +211,33 @@
 	}
 }
 
+// Servers are lost under the call again and again, then all is calm.
+TEST_F(Rewards, AreAskedForAgainSoonAfterABurstOfCrashes)
+{
+	// A step is due after 7.5 s, and its longest item takes 6.4 s.
+	const int64_t asked_again_ms = 1000;
+	const int64_t burst_ms = 5400;
+	int64_t end_ns = reactor_now_ns(&loop_.reactor) + burst_ms * NS_PER_MS;
+	int64_t asked_ns = 0;
+	BatchHost *host = add_host("a");
+	auto behaviour = [&](const ServerSaw &saw) {
+		ServerReply reply;
+
+		reply.cut = saw.at_ns < end_ns;
+		if (!reply.cut && !asked_ns)
+			asked_ns = saw.at_ns;
+		return reply;
+	};
+
+	submission_.groups = submission_.group_size = 1;
+	add_engine("e", stream_reply(3));
+	add_scorer("r1", behaviour);
+	add_scorer("r2", behaviour);
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(loop_.run_until([&] { return asked_ns; }, 20000));
+	EXPECT_LE((asked_ns - end_ns) / NS_PER_MS, asked_again_ms);
+}
+
 // Of the answers that are no success, only failures of the server itself let
 // an item be given up, as many as the call's route allows.
 TEST_F(Rewards, AreGivenUpAfterAsManyFailuresAsAllowed)
