soak: send a request that ends servers beside everything else

Change: callers send one such request every 0.4 s to any daemon; the server that runs it goes down for 0.7 s, with all connections, and is back as another one. A sixth planted fault proves the check: a request that changes each time. Four plain servers take the place of two.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -4,10 +4,14 @@
 static const int64_t TRAINER_PERIOD_NS = 60 * NS_PER_MS;
 static const int64_t CALL_TIMEOUT_NS = 4 * NS_PER_S;
 static const int EVENTS = 3; // of a single request's stream
+static const int64_t BAD_PERIOD_MS = 400;
+// Beyond these ends and attempts the request must not reach servers.
+static const size_t ENDS_ALLOWED = 3;
+static const size_t LATE_ATTEMPTS_ALLOWED = 3;
 
 const std::vector<std::string> planted_faults = {
 	"swapped_body", "false_not_run", "moved_position",
-	"lost_batch",	"cut_stream",
+	"lost_batch",	"cut_stream",	 "changing_request",
 };
 
 bool Weather::is_calm(int daemon, int64_t now_ms) const
@@ -64,6 +68,9 @@
 
 		if (call->what == "single")
 			self->on_single(call, status);
+		else if (call->what == "bad")
+			self->history_->note("bad " + call->id + " status " +
+					     std::to_string(status));
 		else if (call->what == "submit")
 			self->on_submit(call, status);
 		else if (call->what == "read")
@@ -127,8 +134,13 @@
 {
 	Callers *self = (Callers *)arg;
 
-	if (self->sending_)
-		self->send_single();
+	if (!self->sending_)
+		return;
+	self->send_single();
+	if (self->history_->now_ms() < self->next_bad_ms_)
+		return;
+	self->next_bad_ms_ = self->history_->now_ms() + BAD_PERIOD_MS;
+	self->send_bad();
 }
 
 void Callers::finish(Call *call)
@@ -187,6 +199,52 @@
 		->id = id;
 }
 
+// One request that ends each server that runs it comes again and again.
+void Callers::send_bad()
+{
+	std::string id = "x" + std::to_string(next_++);
+	int daemon = (int)rng_below(&rng_, daemons_.size());
+
+	bad_[id] = daemon;
+	call("bad", daemon,
+	     "POST /i/bad HTTP/1.1\r\nX-Attempt-Id: " + id +
+		     "\r\nX-Deadline-Ms: 1500\r\n",
+	     // Nobody can know a planted one again.
+	     plant == "changing_request" ? "body of " + id
+					 : "the same each time")
+		->id = id;
+}
+
+void Callers::on_bad_run(const std::string &id)
+{
+	if (weather_->is_calm(bad_[id], history_->now_ms()))
+		bad_runs_.emplace_back(id, history_->now_ms());
+	history_->note("run " + id + " of daemon " + std::to_string(bad_[id]));
+}
+
+void Callers::on_server_end()
+{
+	server_ends_ms_.push_back(history_->now_ms());
+	history_->note("a server ends, number " +
+		       std::to_string(server_ends_ms_.size()));
+}
+
+void Callers::check_bad()
+{
+	std::set<std::string> late;
+
+	if (server_ends_ms_.size() < ENDS_ALLOWED)
+		return;
+	for (const auto &run : bad_runs_)
+		if (run.second > server_ends_ms_[ENDS_ALLOWED - 1] + CONTACT_MS)
+			late.insert(run.first);
+	if (late.size() > LATE_ATTEMPTS_ALLOWED)
+		history_->violation("BUDGET: " + std::to_string(late.size()) +
+				    " late attempts reach servers, " +
+				    std::to_string(server_ends_ms_.size()) +
+				    " end");
+}
+
 int Callers::on_run(const std::string &id, const std::string &engine,
 		    const std::string &target, const std::string &team,
 		    const std::string &key, const std::string &body)
@@ -305,6 +363,7 @@
 
 void Callers::check_end()
 {
+	check_bad();
 	for (const auto &entry : singles_) {
 		const SingleRequest &single = entry.second;
 		bool says_not_run =
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -76,6 +76,10 @@
 		   const std::string &target, const std::string &team,
 		   const std::string &key, const std::string &body);
 
+	// Likewise for the request that ends servers; see send_bad().
+	void on_bad_run(const std::string &id);
+	void on_server_end();
+
 	// A fault planted in what callers see, once: see planted_faults.
 	std::string plant;
 	uint32_t answered = 0;
@@ -88,6 +92,8 @@
 	static void on_send(void *arg, int64_t now_ns);
 	static void on_trainer(void *arg, int64_t now_ns);
 	void send_single();
+	void send_bad();
+	void check_bad();
 	void submit_new();
 	void submit(TrainerBatch *batch);
 	void read(TrainerBatch *batch, bool from_start);
@@ -117,6 +123,10 @@
 	uint32_t next_ = 0;
 	bool sending_ = false;
 	std::map<std::string, SingleRequest> singles_;
+	std::map<std::string, int> bad_; // attempts by id, and their daemons
+	std::vector<std::pair<std::string, int64_t>> bad_runs_; // by calm ones
+	std::vector<int64_t> server_ends_ms_;
+	int64_t next_bad_ms_ = 0;
 	std::map<std::string, std::unique_ptr<TrainerBatch>> batches_;
 	std::map<std::string, TrainerBatch *> by_item_;
 	std::set<Call *> calls_;
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -12,6 +12,7 @@
 static const int64_t RECOVERED_FOR_MS = 1500;
 static const int64_t SETTLE_LIMIT_MS = 15000;
 static const int64_t ENTRY_TTL_MS = 1200;
+static const int64_t SERVER_DOWN_MS = 700;
 
 struct World::Host {
 	Host(TestReactor *loop, const TempDir &dir, int number,
@@ -30,8 +31,49 @@
 	std::unique_ptr<Proxy> link;
 	std::string service;
 	int64_t born_ms = 1;
+	World *world;
+	struct timer timer = {};
+	bool ending = false;
 };
 
+// The server ends as a process does, and is back as another one.
+void World::on_crash(void *arg, int64_t)
+{
+	Engine *engine = (Engine *)arg;
+	World *world = engine->world;
+
+	world->callers_->on_server_end();
+	world->weather_.engines_disturbed_until_ms =
+		std::max(world->weather_.engines_disturbed_until_ms,
+			 world->history_.now_ms() + SERVER_DOWN_MS);
+	engine->link->set_fault(LinkFault::DOWN);
+	timer_subscribe_once(&world->loop_.reactor.timers, &engine->timer,
+			     SERVER_DOWN_MS * NS_PER_MS, on_back, engine);
+}
+
+void World::on_back(void *arg, int64_t)
+{
+	Engine *engine = (Engine *)arg;
+
+	engine->ending = false;
+	engine->link->set_fault(LinkFault::NONE);
+	engine->born_ms++;
+	engine->world->enter(engine);
+}
+
+ServerReply World::run_bad(Engine *engine, const ServerSaw &saw)
+{
+	ServerReply reply;
+
+	callers_->on_bad_run(saw.id);
+	reply.hang = true;
+	if (!engine->ending)
+		timer_subscribe_once(&loop_.reactor.timers, &engine->timer,
+				     NS_PER_MS, on_crash, engine);
+	engine->ending = true;
+	return reply;
+}
+
 World::World(uint64_t seed)
     : seed_(seed), history_(&loop_.reactor), store_(&loop_, &history_)
 {
@@ -57,6 +99,8 @@
 World::~World()
 {
 	callers_.reset();
+	for (auto &engine : engines_)
+		timer_unsubscribe(&loop_.reactor.timers, &engine->timer);
 	for (auto &host : hosts_)
 		host->daemon.process.reset();
 }
@@ -87,8 +131,12 @@
 	std::unique_ptr<Engine> engine(new Engine());
 
 	engine->service = service;
-	engine->server.reset(
-		new FakeServer(&loop_, id, [this, id](const ServerSaw &saw) {
+	engine->world = this;
+	engine->server.reset(new FakeServer(
+		&loop_, id,
+		[this, id, self = engine.get()](const ServerSaw &saw) {
+			if (saw.target == "/i/bad")
+				return run_bad(self, saw);
 			ServerReply reply;
 			int events = callers_->on_run(saw.id, id, saw.target,
 						      saw.team, saw.key,
--- a/soak/world.h
+++ b/soak/world.h
@@ -17,7 +17,7 @@
 {
       public:
 	static const int DAEMONS = 3;
-	static const int PLAIN_SERVERS = 2;
+	static const int PLAIN_SERVERS = 4;
 	static const int ENGINES = 3;
 
 	explicit World(uint64_t seed);
@@ -44,6 +44,9 @@
 
 	void configure();
 	void start_daemon(int number, bool first);
+	static void on_crash(void *arg, int64_t now_ns);
+	static void on_back(void *arg, int64_t now_ns);
+	ServerReply run_bad(Engine *engine, const ServerSaw &saw);
 	void add_engine(int number, const std::string &service);
 	void enter(Engine *engine);
 	void leave(Engine *engine);
