policy: ask what others report only where it decides

Cause: for each crash in a full list the lists of all hosts were searched, though most entries cannot be the one that goes: up to 1.4 million comparisons at 350 hosts with full lists (worked out).

Change: the others' lists are searched where an entry would go first otherwise. The same entry goes as before.

Result: test-crashes and test-forward pass (13 and 20 tests).

--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -35,35 +35,38 @@
 	return count;
 }
 
-/* How much is lost with a crash; the least goes first. */
-static uint32_t weight_of(const struct crash_list *list,
-			  const struct crash *crash,
-			  const struct crash_reporter *others)
-{
-	int is_reported = others && others->reports(others, crash->request);
+/* The crash that goes from a full list, as far as it is found. */
+struct victim {
+	uint32_t at;
+	uint32_t weight; /* how much is lost with it */
+	int64_t at_ms;
+};
 
-	return count_all(list, crash->request) +
-	       (is_reported ? CRASH_LIST_MAX : 0);
+static int goes_first(const struct crash *crash, uint32_t weight,
+		      const struct victim *victim)
+{
+	return weight < victim->weight ||
+	       (weight == victim->weight && crash->at_ms < victim->at_ms);
 }
 
 static uint32_t choose_victim(const struct crash_list *list,
 			      const struct crash_reporter *others)
 {
-	uint32_t victim = 0;
-	uint32_t least = UINT32_MAX;
+	struct victim victim = { .weight = UINT32_MAX };
 
 	for (uint32_t i = 0; i < list->count; i++) {
 		const struct crash *crash = &list->crashes[i];
-		uint32_t weight = weight_of(list, crash, others);
+		uint32_t weight = count_all(list, crash->request);
 
-		if (weight > least ||
-		    (weight == least &&
-		     crash->at_ms >= list->crashes[victim].at_ms))
+		/* The others' lists are long: asked only where it matters. */
+		if (!goes_first(crash, weight, &victim))
 			continue;
-		victim = i;
-		least = weight;
+		if (others && others->reports(others, crash->request))
+			weight += CRASH_LIST_MAX;
+		if (goes_first(crash, weight, &victim))
+			victim = (struct victim){ i, weight, crash->at_ms };
 	}
-	return victim;
+	return victim.at;
 }
 
 int crash_list_add(struct crash_list *list, const struct crash *crash,
