policy: do not count an answer as a crash in the lines

Cause: an answer stands in a host's list beside crashes. `crashes suspected` and `not_counted` counted it, so after an answer the figure was one too high. What is refused goes by the tally, which was right.

Change: crash_list_count() leaves answers out.

Result: CrashList.DoesNotCountAnAnswer passes; by its first line the code before counted 1. test-crashes 13 tests, test-forward 20.

--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -114,6 +114,7 @@
 
 	for (uint32_t i = 0; i < list->count; i++)
 		count += list->crashes[i].request == request &&
+			 list->crashes[i].server != CRASH_ANSWERED &&
 			 counts(&list->crashes[i], now_ms);
 	return count;
 }
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -130,6 +130,18 @@
 	EXPECT_EQ(0u, list.count);
 }
 
+// The answer is listed beside crashes, and is none.
+TEST(CrashList, DoesNotCountAnAnswer)
+{
+	struct crash_list list;
+
+	crash_list_init(&list);
+	add(&list, 7, CRASH_ANSWERED, 1000);
+	EXPECT_EQ(0u, crash_list_count(&list, 7, 2000));
+	add(&list, 7, 1, 2000);
+	EXPECT_EQ(1u, crash_list_count(&list, 7, 2000));
+}
+
 // A tally is in order of time, whatever order the lists come in, and keeps
 // the newest.
 TEST(CrashTally, AddsUpTheListsOfAllHosts)
