discovery, policy, soak: say plainly what a newcomer would ask

Cause: crash_board_put() freed in a branch that mostly had nothing to free; one comment stood for two functions; a header spoke of a machine.

Change: the name is checked before anything is read; the comment tells the functions apart; the header says what is meant. Behaviour stays.

Result: test-crashes, test-forward pass; clang-format is clean on the files.

--- a/discovery/crash_board.c
+++ b/discovery/crash_board.c
@@ -94,16 +94,14 @@
 		    const void *value, size_t len, uint64_t offset,
 		    int64_t now_ms)
 {
-	Currant__Topic__CrashReport *report =
-		currant__topic__crash_report__unpack(NULL, len, value);
+	Currant__Topic__CrashReport *report;
 	struct crash_list list;
 
-	if (!report || strlen(host) >= HOST_NAME_BYTES) {
-		if (report)
-			currant__topic__crash_report__free_unpacked(report,
-								    NULL);
+	if (strlen(host) >= HOST_NAME_BYTES)
+		return -1;
+	report = currant__topic__crash_report__unpack(NULL, len, value);
+	if (!report)
 		return -1;
-	}
 	crash_list_init(&list);
 	read_list(report, now_ms, &list);
 	currant__topic__crash_report__free_unpacked(report, NULL);
--- a/policy/circuit.h
+++ b/policy/circuit.h
@@ -37,8 +37,8 @@
 int circuit_allows_last_resort(const struct circuit *circuit, int64_t now_ns);
 
 /*
- * Tells that a request is sent now. Returns 0 if it may not be: a probe that
- * another thread took first.
+ * Tells that a request is sent now, the second one also as the last resort.
+ * Returns 0 if it may not be: a probe that another thread took first.
  */
 int circuit_begin(struct circuit *circuit, int64_t now_ns);
 int circuit_begin_last_resort(struct circuit *circuit, int64_t now_ns);
--- a/soak/daemon.h
+++ b/soak/daemon.h
@@ -11,7 +11,7 @@
 class Daemon
 {
       public:
-	// Listens at an address that no other process of this machine uses.
+	// Listens at a loopback address that this test program alone uses.
 	Daemon(TestReactor *loop, const TempDir &dir, int number,
 	       const std::string &store);
 
