soak: write a server that ends in one place

Cause: the soak and t/test-proof-crashing-request each had a server behind a link that goes down, comes back as another process and enters itself into the store: the same code twice.

Change: soak/ending_server has it.

--- a/Makefile
+++ b/Makefile
@@ -132,9 +132,9 @@
 	@echo LINK $@
 	@$(CXX) $(CXXFLAGS) -o $@ $^ -lgtest $(LIBS)
 
-# The daemons, links and store of the soak, without its callers.
+# The daemons, servers, links and store of the soak, without its callers.
 $(BUILD)/t/test-proof-crashing-request: $(addprefix $(BUILD)/soak/,daemon.o \
-	history.o proxy.o store_standin.o)
+	ending_server.o history.o proxy.o store_standin.o)
 
 $(BUILD)/t/test-%: $(BUILD)/t/test-%.o $(T_SUPPORT) $(LIB)
 	@echo LINK $@
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -26,54 +26,24 @@
 	bool stopping = false;
 };
 
-struct World::Engine {
-	std::unique_ptr<FakeServer> server;
-	std::unique_ptr<Proxy> link;
-	std::string service;
-	int64_t born_ms = 1;
-	World *world;
-	struct timer timer = {};
-	bool ending = false;
-};
-
-// The server ends as a process does, and is back as another one.
-void World::on_crash(void *arg, int64_t)
-{
-	Engine *engine = (Engine *)arg;
-	World *world = engine->world;
-
-	world->callers_->on_server_end();
-	world->weather_.engines_disturbed_until_ms =
-		std::max(world->weather_.engines_disturbed_until_ms,
-			 world->history_.now_ms() + SERVER_DOWN_MS);
-	engine->link->set_fault(LinkFault::DOWN);
-	timer_subscribe_once(&world->loop_.reactor.timers, &engine->timer,
-			     SERVER_DOWN_MS * NS_PER_MS, on_back, engine);
-}
-
-void World::on_back(void *arg, int64_t)
-{
-	Engine *engine = (Engine *)arg;
-
-	engine->ending = false;
-	engine->link->set_fault(LinkFault::NONE);
-	engine->born_ms++;
-	engine->world->enter(engine);
-}
-
-ServerReply World::run_bad(Engine *engine, const ServerSaw &saw)
+ServerReply World::run_bad(EndingServer *engine, const ServerSaw &saw)
 {
 	ServerReply reply;
 
 	callers_->on_bad_run(saw.id);
 	reply.hang = true;
-	if (!engine->ending)
-		timer_subscribe_once(&loop_.reactor.timers, &engine->timer,
-				     NS_PER_MS, on_crash, engine);
-	engine->ending = true;
+	engine->end();
 	return reply;
 }
 
+void World::on_server_end()
+{
+	callers_->on_server_end();
+	weather_.engines_disturbed_until_ms =
+		std::max(weather_.engines_disturbed_until_ms,
+			 history_.now_ms() + SERVER_DOWN_MS);
+}
+
 World::World(uint64_t seed)
     : seed_(seed), history_(&loop_.reactor), store_(&loop_, &history_)
 {
@@ -99,8 +69,6 @@
 World::~World()
 {
 	callers_.reset();
-	for (auto &engine : engines_)
-		timer_unsubscribe(&loop_.reactor.timers, &engine->timer);
 	for (auto &host : hosts_)
 		host->daemon.process.reset();
 }
@@ -128,51 +96,26 @@
 void World::add_engine(int number, const std::string &service)
 {
 	std::string id = service + std::to_string(number);
-	std::unique_ptr<Engine> engine(new Engine());
-
-	engine->service = service;
-	engine->world = this;
-	engine->server.reset(new FakeServer(
-		&loop_, id,
-		[this, id, self = engine.get()](const ServerSaw &saw) {
-			if (saw.target == "/i/bad")
-				return run_bad(self, saw);
-			ServerReply reply;
-			int events = callers_->on_run(saw.id, id, saw.target,
-						      saw.team, saw.key,
-						      saw.body);
-
-			reply.stream = saw.target[1] == 'b' ||
-				       saw.target[1] == 'r';
-			reply.events = events;
-			reply.interval_ms = saw.target[1] == 'b' ? 15 : 3;
-			reply.delay_ms = 5;
-			reply.body = "done " + saw.id;
-			return reply;
-		}));
-	engine->link.reset(new Proxy(&loop_, engine->server->address()));
-	engines_.push_back(std::move(engine));
-	enter(engines_.back().get());
-}
-
-void World::enter(Engine *engine)
-{
-	std::string models =
-		engine->service == "e" ? "{\"name\":\"m\",\"version\":1}" : "";
-
-	store_.topics.put("keyed.servers", engine->server->id(),
-			  "{\"service\":\"" + engine->service +
-				  "\",\"addr\":\"" + engine->link->address() +
-				  "\",\"zone\":\"z\",\"version\":\"v1\","
-				  "\"slots\":8,\"state\":\"ready\","
-				  "\"cold_left_ms\":0,\"models\":[" +
-				  models + "],\"seq\":1,\"born\":" +
-				  std::to_string(engine->born_ms) + "}");
-}
-
-void World::leave(Engine *engine)
-{
-	store_.topics.put("keyed.servers", engine->server->id(), "");
+	EndingServer *engine = new EndingServer(
+		&loop_, &store_, id, service, 8,
+		service == "e" ? "{\"name\":\"m\",\"version\":1}" : "",
+		SERVER_DOWN_MS);
+
+	engines_.emplace_back(engine);
+	engine->on_end = [this] { on_server_end(); };
+	engine->server.behaviour = [this, id, engine](const ServerSaw &saw) {
+		ServerReply reply;
+
+		if (saw.target == "/i/bad")
+			return run_bad(engine, saw);
+		reply.events = callers_->on_run(saw.id, id, saw.target,
+						saw.team, saw.key, saw.body);
+		reply.stream = saw.target[1] == 'b' || saw.target[1] == 'r';
+		reply.interval_ms = saw.target[1] == 'b' ? 15 : 3;
+		reply.delay_ms = 5;
+		reply.body = "done " + saw.id;
+		return reply;
+	};
 }
 
 void World::start_daemon(int number, bool first)
@@ -328,12 +271,12 @@
 void World::plan_server(int64_t at_ms)
 {
 	int64_t for_ms = between(&rng_, 200, 2000);
-	Engine *engine =
+	EndingServer *engine =
 		engines_[(size_t)between(&rng_, 0, (int64_t)engines_.size())]
 			.get();
 	LinkFault fault = (LinkFault)between(&rng_, 1, 5);
 	bool dies = rng_unit(&rng_) < 0.4;
-	std::string id = engine->server->id();
+	std::string id = engine->server.id();
 
 	if (dies)
 		fault = LinkFault::RESET;
@@ -341,18 +284,18 @@
 		weather_.engines_disturbed_until_ms =
 			std::max(weather_.engines_disturbed_until_ms,
 				 history_.now_ms() + for_ms);
-		engine->link->set_fault(fault);
+		engine->link.set_fault(fault);
 	});
 	if (dies) {
 		for_ms += ENTRY_TTL_MS;
 		add(at_ms + ENTRY_TTL_MS, "entry of " + id + " lapses",
-		    [=] { leave(engine); });
+		    [=] { engine->leave(); });
 	}
 	add(at_ms + for_ms, "server " + id + " is back", [=] {
-		engine->link->set_fault(LinkFault::NONE);
+		engine->link.set_fault(LinkFault::NONE);
 		engine->born_ms++;
 		if (dies)
-			enter(engine);
+			engine->enter();
 	});
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -9,8 +9,7 @@
 
 #include "soak/callers.h"
 #include "soak/daemon.h"
-#include "soak/store_standin.h"
-#include "t/lib-fake-engine.h"
+#include "soak/ending_server.h"
 
 // Daemons as processes of their own, and all that is outside of them.
 class World
@@ -35,7 +34,6 @@
 
       private:
 	struct Host;
-	struct Engine;
 	struct Fault {
 		int64_t at_ms;
 		std::string name;
@@ -44,12 +42,9 @@
 
 	void configure();
 	void start_daemon(int number, bool first);
-	static void on_crash(void *arg, int64_t now_ns);
-	static void on_back(void *arg, int64_t now_ns);
-	ServerReply run_bad(Engine *engine, const ServerSaw &saw);
+	void on_server_end();
+	ServerReply run_bad(EndingServer *engine, const ServerSaw &saw);
 	void add_engine(int number, const std::string &service);
-	void enter(Engine *engine);
-	void leave(Engine *engine);
 	bool wait_ready();
 	void plan();
 	void add(int64_t at_ms, const std::string &name,
@@ -71,7 +66,7 @@
 	StoreStandin store_;
 	Weather weather_;
 	std::vector<std::unique_ptr<Host>> hosts_;
-	std::vector<std::unique_ptr<Engine>> engines_;
+	std::vector<std::unique_ptr<EndingServer>> engines_;
 	std::unique_ptr<Callers> callers_;
 	std::vector<Fault> faults_;
 	int64_t began_ms_ = 0;
--- a/t/test-proof-crashing-request.cc
+++ b/t/test-proof-crashing-request.cc
@@ -10,8 +10,7 @@
 #include <sstream>
 
 #include "soak/daemon.h"
-#include "soak/store_standin.h"
-#include "t/lib-fake-engine.h"
+#include "soak/ending_server.h"
 
 extern "C" {
 #include "net/net_client.h"
@@ -59,28 +58,17 @@
 	double sound_share() const;
 
       private:
-	struct Server {
-		std::unique_ptr<FakeServer> server;
-		std::unique_ptr<Proxy> link;
-		struct timer timer = {};
-		Scene *scene;
-		int64_t born_ms = 1;
-		bool ending = false;
-	};
 	struct Call;
 	struct CallHooks;
 
 	void configure();
-	void enter(Server *server);
-	ServerReply run(Server *server, const ServerSaw &saw);
+	ServerReply run(EndingServer *server, const ServerSaw &saw);
 	void send(const std::string &path, const std::string &id, int daemon);
 	void finish(Call *call, int status);
 	void step();
 	void disturb();
 	int64_t bound_ms() const;
 	void run_until_ms(int64_t at_ms);
-	static void on_end(void *arg, int64_t);
-	static void on_back(void *arg, int64_t);
 	int64_t now_ms() const
 	{
 		return history_.now_ms();
@@ -93,7 +81,7 @@
 	StoreStandin store_;
 	struct net_pool pool_;
 	std::vector<std::unique_ptr<Daemon>> daemons_;
-	std::vector<std::unique_ptr<Server>> servers_;
+	std::vector<std::unique_ptr<EndingServer>> servers_;
 	std::set<Call *> calls_;
 	std::vector<int64_t> ends_ms_;
 	std::map<std::string, int64_t> bad_ms_; // last arrival of an attempt
@@ -146,18 +134,16 @@
 		daemons_.emplace_back(
 			new Daemon(&loop_, dir_, i, store_.address()));
 	for (int i = 0; i < 6; i++) {
-		Server *server = new Server();
+		EndingServer *server = new EndingServer(&loop_, &store_,
+							"s" + std::to_string(i),
+							"p", 64, "", DOWN_MS);
 
 		servers_.emplace_back(server);
-		server->scene = this;
-		server->server.reset(
-			new FakeServer(&loop_, "s" + std::to_string(i),
-				       [this, server](const ServerSaw &saw) {
-					       return run(server, saw);
-				       }));
-		server->link.reset(
-			new Proxy(&loop_, server->server->address()));
-		enter(server);
+		server->on_end = [this] { ends_ms_.push_back(now_ms()); };
+		server->server.behaviour = [this,
+					    server](const ServerSaw &saw) {
+			return run(server, saw);
+		};
 	}
 	configure();
 }
@@ -171,8 +157,6 @@
 		calls_.erase(call);
 		delete call;
 	}
-	for (auto &server : servers_)
-		timer_unsubscribe(&loop_.reactor.timers, &server->timer);
 	net_pool_finish(&pool_);
 	daemons_.clear();
 }
@@ -201,40 +185,7 @@
 			"]}");
 }
 
-void Scene::enter(Server *server)
-{
-	store_.topics.put("keyed.servers", server->server->id(),
-			  "{\"service\":\"p\",\"addr\":\"" +
-				  server->link->address() +
-				  "\",\"zone\":\"z\",\"version\":\"v1\","
-				  "\"slots\":64,\"state\":\"ready\","
-				  "\"cold_left_ms\":0,\"models\":[],\"seq\":1,"
-				  "\"born\":" +
-				  std::to_string(server->born_ms) + "}");
-}
-
-void Scene::on_end(void *arg, int64_t)
-{
-	Server *server = (Server *)arg;
-	Scene *scene = server->scene;
-
-	scene->ends_ms_.push_back(scene->now_ms());
-	server->link->set_fault(LinkFault::DOWN);
-	timer_subscribe_once(&scene->loop_.reactor.timers, &server->timer,
-			     DOWN_MS * NS_PER_MS, on_back, server);
-}
-
-void Scene::on_back(void *arg, int64_t)
-{
-	Server *server = (Server *)arg;
-
-	server->link->set_fault(LinkFault::NONE);
-	server->ending = false;
-	server->born_ms++;
-	server->scene->enter(server);
-}
-
-ServerReply Scene::run(Server *server, const ServerSaw &saw)
+ServerReply Scene::run(EndingServer *server, const ServerSaw &saw)
 {
 	ServerReply reply;
 
@@ -250,12 +201,10 @@
 		return reply;
 	}
 	reply.hang = true;
-	if (!server->ending)
-		timer_subscribe_once(&loop_.reactor.timers, &server->timer,
-				     NS_PER_MS, on_end, server);
-	server->ending = true;
+	server->end();
 	return reply;
 }
+
 void Scene::send(const std::string &path, const std::string &id, int daemon)
 {
 	static const struct net_call_vtable vtable = { CallHooks::on_head,
