soak: name the process of a daemon apart from a log client's daemon

t/lib-daemon.h has a class Daemon too, and the soak links both. Two classes of one name in one program are undefined: which destructor a unique_ptr calls is the linker's choice. Seen while reading what the soak's programs link; no failure is traced to it. The soak's class is DaemonProcess now, in files of that name. No change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -133,8 +133,9 @@
 	@$(CXX) $(CXXFLAGS) -o $@ $^ -lgtest $(LIBS)
 
 # The daemons, servers, links and store of the soak, without its callers.
-$(BUILD)/t/test-proof-crashing-request: $(addprefix $(BUILD)/soak/,daemon.o \
+$(BUILD)/t/test-proof-crashing-request: $(addprefix $(BUILD)/soak/,daemon_process.o \
 	ending_server.o history.o proxy.o store_standin.o)
+$(BUILD)/t/test-proxy: $(BUILD)/soak/proxy.o
 
 $(BUILD)/t/test-%: $(BUILD)/t/test-%.o $(T_SUPPORT) $(LIB)
 	@echo LINK $@
--- a/soak/daemon.cc
+++ b/soak/daemon_process.cc
@@ -1,12 +1,12 @@
-#include "soak/daemon.h"
+#include "soak/daemon_process.h"
 
 #include <unistd.h>
 
 #include <fstream>
 #include <sstream>
 
-Daemon::Daemon(TestReactor *loop, const TempDir &dir, int daemon_number,
-	       const std::string &store)
+DaemonProcess::DaemonProcess(TestReactor *loop, const TempDir &dir,
+			     int daemon_number, const std::string &store)
     : number(daemon_number), name("d" + std::to_string(daemon_number)),
       link(new Proxy(loop, store)), settings_(dir.file(name + ".json")),
       output_(dir.file(name + ".log"))
@@ -18,7 +18,7 @@
 	ip_ = ip.str();
 }
 
-void Daemon::start(bool first)
+void DaemonProcess::start(bool first)
 {
 	std::string listen = "\"" + ip_ + ":84";
 	std::ofstream out(settings_);
@@ -49,17 +49,17 @@
 		       output_ + "." + std::to_string(starts));
 }
 
-bool Daemon::is_ready() const
+bool DaemonProcess::is_ready() const
 {
 	return output(1).find("event=ready") != std::string::npos;
 }
 
-std::string Daemon::callers() const
+std::string DaemonProcess::callers() const
 {
 	return ip_ + ":8405";
 }
 
-std::string Daemon::output(int start) const
+std::string DaemonProcess::output(int start) const
 {
 	return read_file(output_ + "." + std::to_string(start));
 }
--- a/soak/daemon.h
+++ b/soak/daemon_process.h
@@ -1,6 +1,6 @@
 // A daemon of an entry host as a process, with a link of its own to the store.
-#ifndef SOAK_DAEMON_H
-#define SOAK_DAEMON_H
+#ifndef SOAK_DAEMON_PROCESS_H
+#define SOAK_DAEMON_PROCESS_H
 
 #include <memory>
 #include <string>
@@ -8,12 +8,12 @@
 #include "soak/proxy.h"
 #include "t/lib-process.h"
 
-class Daemon
+class DaemonProcess
 {
       public:
 	// Listens at a loopback address that this test program alone uses.
-	Daemon(TestReactor *loop, const TempDir &dir, int number,
-	       const std::string &store);
+	DaemonProcess(TestReactor *loop, const TempDir &dir, int number,
+		      const std::string &store);
 
 	// `first`: all daemons start together for the first time.
 	void start(bool first);
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -21,7 +21,7 @@
 	{
 	}
 
-	Daemon daemon;
+	DaemonProcess daemon;
 	bool expected = false; // to run
 	bool stopping = false;
 };
@@ -163,7 +163,7 @@
 void World::plan_daemon(int64_t at_ms, int number)
 {
 	Host *host = hosts_[(size_t)number].get();
-	Daemon *daemon = &host->daemon;
+	DaemonProcess *daemon = &host->daemon;
 	int64_t for_ms = between(&rng_, 200, 2500);
 
 	switch (between(&rng_, 0, 5)) {
@@ -343,7 +343,7 @@
 void World::look_after_daemons()
 {
 	for (auto &host : hosts_) {
-		Daemon *daemon = &host->daemon;
+		DaemonProcess *daemon = &host->daemon;
 
 		if (daemon->process->running())
 			continue;
--- a/soak/world.h
+++ b/soak/world.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "soak/callers.h"
-#include "soak/daemon.h"
+#include "soak/daemon_process.h"
 #include "soak/ending_server.h"
 
 // Daemons as processes of their own, and all that is outside of them.
--- a/t/test-proof-crashing-request.cc
+++ b/t/test-proof-crashing-request.cc
@@ -9,7 +9,7 @@
 #include <set>
 #include <sstream>
 
-#include "soak/daemon.h"
+#include "soak/daemon_process.h"
 #include "soak/ending_server.h"
 
 extern "C" {
@@ -80,7 +80,7 @@
 	History history_;
 	StoreStandin store_;
 	struct net_pool pool_;
-	std::vector<std::unique_ptr<Daemon>> daemons_;
+	std::vector<std::unique_ptr<DaemonProcess>> daemons_;
 	std::vector<std::unique_ptr<EndingServer>> servers_;
 	std::set<Call *> calls_;
 	std::vector<int64_t> ends_ms_;
@@ -132,7 +132,7 @@
 	rng_init(&rng_, 19);
 	for (int i = 0; i < c.daemons; i++)
 		daemons_.emplace_back(
-			new Daemon(&loop_, dir_, i, store_.address()));
+			new DaemonProcess(&loop_, dir_, i, store_.address()));
 	for (int i = 0; i < 6; i++) {
 		EndingServer *server = new EndingServer(&loop_, &store_,
 							"s" + std::to_string(i),
