soak, t: keep the port of a server that is down

The warning is the proxy's: its server was down for a second, its port was free meanwhile, another program took it, and the server could not listen again. It entered itself into the store all the same, so one of six servers was another program, 5 of 6 requests were answered, and the rest got that program's answer.

A second socket, bound and never listening, now holds the port for as long as the proxy is there. The same holds for the stand-ins that tests kill and start again at their address.

--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -12,6 +12,7 @@
 #include "t/lib-listener.h"
 
 static const int64_t SLOW_STEP_NS = 150 * NS_PER_MS;
+static const int BACKLOG = 256; // connections
 
 struct Proxy::Pair {
 	Proxy *self;
@@ -52,17 +53,20 @@
 Proxy::Proxy(TestReactor *loop, const std::string &target)
     : loop_(loop), target_(target)
 {
-	int fd = listen_on_loopback(256, &port_);
-
-	EXPECT_GE(fd, 0);
-	listen(fd);
+	held_ = hold_on_loopback(&port_);
+	EXPECT_GE(held_, 0);
+	listen();
 }
 
-void Proxy::listen(int fd)
+void Proxy::listen()
 {
+	int fd = hold_on_loopback(&port_);
+
+	EXPECT_GE(fd, 0);
 	evutil_make_socket_nonblocking(fd);
 	listener_ = evconnlistener_new(loop_->reactor.events, on_accept, this,
-				       LEV_OPT_CLOSE_ON_FREE, 0, fd);
+				       LEV_OPT_CLOSE_ON_FREE, BACKLOG, fd);
+	EXPECT_TRUE(listener_);
 }
 
 Proxy::~Proxy()
@@ -72,6 +76,7 @@
 		end(pairs_.front(), false);
 	if (listener_)
 		evconnlistener_free(listener_);
+	close(held_);
 }
 
 std::string Proxy::address() const
@@ -151,7 +156,7 @@
 		evconnlistener_free(listener_);
 		listener_ = nullptr;
 	} else if (fault != LinkFault::DOWN && !listener_) {
-		listen(listen_again(port_));
+		listen();
 	}
 	fault_ = fault;
 	timer_unsubscribe(&loop_->reactor.timers, &timer_);
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -45,14 +45,15 @@
 	static void on_event(struct bufferevent *of, short what, void *arg);
 	static void on_timer(void *arg, int64_t now_ns);
 	void end(Pair *pair, bool reset);
-	void listen(int fd);
+	void listen();
 	void apply(Pair *pair);
 	void pass(struct bufferevent *from, struct bufferevent *to);
 
 	TestReactor *loop_;
 	std::string target_;
 	struct evconnlistener *listener_;
-	int port_;
+	int port_ = 0;
+	int held_; // so that the port stays this one's while it is down
 	LinkFault fault_ = LinkFault::NONE;
 	std::list<Pair *> pairs_;
 	struct timer timer_ = {};
--- a/t/lib-listener.cc
+++ b/t/lib-listener.cc
@@ -21,20 +21,36 @@
 	return fd;
 }
 
-int listen_again(int port)
+int hold_on_loopback(int *port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	struct sockaddr_in address = {};
+	socklen_t len = sizeof(address);
 	int on = 1;
 
 	address.sin_family = AF_INET;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons((uint16_t)port);
+	address.sin_port = htons((uint16_t)*port);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
-	    listen(fd, SOMAXCONN)) {
+	if (bind(fd, (struct sockaddr *)&address, len) ||
+	    getsockname(fd, (struct sockaddr *)&address, &len)) {
 		close(fd);
 		return -1;
 	}
+	*port = ntohs(address.sin_port);
 	return fd;
 }
+
+bool is_free_on_loopback(int port)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_in address = {};
+	bool ok;
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)port);
+	ok = !bind(fd, (struct sockaddr *)&address, sizeof(address));
+	close(fd);
+	return ok;
+}
--- a/t/lib-listener.h
+++ b/t/lib-listener.h
@@ -5,7 +5,12 @@
 // descriptor, or -1.
 int listen_on_loopback(int backlog, int *port);
 
-// Listens at a port of loopback that was listened at before.
-int listen_again(int port);
+// Binds a free port of loopback, which goes into `*port`, or `*port` itself
+// unless that is 0; returns the descriptor, or -1. While it is open nobody
+// gets the port by chance, and others that this function bound may listen.
+int hold_on_loopback(int *port);
+
+// Whether a program that asks for this port of loopback would get it.
+bool is_free_on_loopback(int port);
 
 #endif
--- a/t/lib-process.cc
+++ b/t/lib-process.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 
 #include "t/lib-clock.h"
+#include "t/lib-listener.h"
 
 extern "C" {
 #include "base/clock.h"
@@ -261,7 +262,15 @@
 Standin::Standin(const std::string &role, const std::vector<std::string> &flags)
     : role_(role), flags_(flags)
 {
-	launch("127.0.0.1:0");
+	int port = 0;
+
+	held_ = hold_on_loopback(&port);
+	launch("127.0.0.1:" + std::to_string(port));
+}
+
+Standin::~Standin()
+{
+	close(held_);
 }
 
 bool Standin::launch(const std::string &listen)
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -95,6 +95,7 @@
 	// Starts a role and waits until it is ready.
 	explicit Standin(const std::string &role,
 			 const std::vector<std::string> &flags = {});
+	~Standin();
 
 	// Starts it again, at the same address, after stop() or kill().
 	bool restart();
@@ -109,6 +110,7 @@
 	std::string role_;
 	std::vector<std::string> flags_;
 	std::string address_;
+	int held_; // so that the port stays this one's while it is down
 };
 
 #endif
--- a/t/test-standin-process.cc
+++ b/t/test-standin-process.cc
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "client/http_call.h"
 }
+#include "t/lib-listener.h"
 #include "t/lib-process.h"
 
 TEST(Process, EndsAndTellsItsStatus)
@@ -53,6 +54,8 @@
 
 	standin.kill();
 	EXPECT_EQ(0, http_get(address, "/v1/read?from=0").status);
+	EXPECT_FALSE(is_free_on_loopback(
+		std::stoi(address.substr(address.find(':') + 1))));
 	ASSERT_TRUE(standin.restart());
 	EXPECT_EQ(address, standin.address());
 	EXPECT_EQ(200, http_get(address, "/v1/read?from=0").status);
