--- a/t/lib-process.cc
+++ b/t/lib-process.cc
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/inotify.h>
 #include <sys/prctl.h>
 #include <sys/syscall.h>
@@ -130,6 +131,26 @@
 		::kill(pid_, number);
 }
 
+static uint64_t signal_mask(const std::string &status, const char *name)
+{
+	size_t at = status.find(name);
+
+	return at == std::string::npos
+		       ? 0
+		       : strtoull(status.c_str() + at + strlen(name), nullptr,
+				  16);
+}
+
+bool Process::holds(int number) const
+{
+	std::string status =
+		read_file("/proc/" + std::to_string(pid_) + "/status");
+	uint64_t held = signal_mask(status, "SigBlk:") |
+			signal_mask(status, "SigCgt:");
+
+	return held >> (number - 1) & 1;
+}
+
 int Process::wait(int limit_ms)
 {
 	int64_t limit = steady_now_ms() + limit_ms;
--- a/t/lib-process.h
+++ b/t/lib-process.h
@@ -45,6 +45,9 @@
 	pid_t pid() const;
 	bool running(); // false once it has ended
 	void signal(int number);
+	// Whether the program has a handler for the signal or keeps it pending,
+	// which no program does before it runs main().
+	bool holds(int number) const;
 
 	// Waits for the end. Returns the exit status, 128 + N if signal N
 	// ended it, or -1 after the limit.
