soak: reward calls, leaving servers and unfenced duties

The soak's histories had none of the three, so it could not break what they promise: a result with the score of its own text, no new work for a server that says it leaves, no former holder of a duty within the lease.

Half of the batches now have reward calls; an eighth of these fail. MIXED: a score that no answer gave, or a call before its text can be whole. Servers leave at times: their answers say so, the store does not, then another process has their place. DRAIN: a request that came 500 ms or more after its daemon passed such an answer on reaches that server (the platform's bound is 2 s and more). With odd seeds the store checks no fences. ONE: a lower fence, or two holders by turns within the lease.

Usage reports come each 2 s and the lease is 1.5 s, so turns of real daemons show little here; the search in t/test-proof-duty-term remains what proves them.

--- a/soak/call.h
+++ b/soak/call.h
@@ -12,6 +12,8 @@
 static const int64_t CONTACT_MS = 3000;
 static const int64_t SETTLE_MS = 1000;
 static const int64_t CANCEL_MS = 3000;
+static const int64_t EVENT_MS = 15; // between events of an item's run
+static const int64_t DRAIN_MS = 500; // the platform allows 2000 and more
 
 // One call of a caller or a trainer that is running.
 struct Callers::Call {
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -10,8 +10,9 @@
 static const size_t LATE_ATTEMPTS_ALLOWED = 3;
 
 const std::vector<std::string> planted_faults = {
-	"swapped_body", "false_not_run", "moved_position",
-	"lost_batch",	"cut_stream",	 "changing_request",
+	"swapped_body",	   "false_not_run",    "moved_position", "lost_batch",
+	"cut_stream",	   "changing_request", "other_score",	 "early_score",
+	"unheard_leaving", "duty_turns",
 };
 
 bool Weather::is_calm(int daemon, int64_t now_ms) const
@@ -256,16 +257,9 @@
 		history_->violation("UNASKED: " + id + " runs for team '" +
 				    team + "' with key '" + key + "'");
 	if (item != by_item_.end()) {
-		TrainerBatch *batch = item->second;
-		int64_t now_ms = history_->now_ms();
-
-		if (batch->ended_ms >= 0 &&
-		    now_ms > batch->ended_ms + CANCEL_MS + SETTLE_MS)
-			history_->violation("UNASKED: " + id +
-					    " runs after the end of " +
-					    batch->id);
-		batch->runs[id].push_back(now_ms);
-		return batch->events;
+		check_unasked(*item->second, id);
+		item->second->runs[id].push_back(history_->now_ms());
+		return item->second->events;
 	}
 	if (single == singles_.end()) {
 		history_->violation("UNASKED: nobody sent " + id);
@@ -274,12 +268,60 @@
 	if (target != "/" + single->second.kind + "/" + id ||
 	    body != "body of " + id)
 		history_->violation("UNASKED: " + id + " runs changed");
+	check_leaving(single->second, id, engine);
+	single->second.server_leaves = false;
 	single->second.runs.push_back(engine);
 	single->second.run_ms.push_back(history_->now_ms());
 	history_->note("run " + id + " at " + engine);
 	return EVENTS;
 }
 
+void Callers::on_leaving_answer(const std::string &id)
+{
+	auto single = singles_.find(id);
+
+	if (single != singles_.end())
+		single->second.server_leaves = true;
+}
+
+void Callers::note_leaving(const Call &call, const SingleRequest &single)
+{
+	const std::string &engine = single.runs.back();
+
+	if (single.server_leaves || takes_plant("unheard_leaving")) {
+		leaving_ms_.emplace(std::make_pair(call.daemon, engine),
+				    history_->now_ms());
+		history_->note(engine + " is leaving, told through " +
+			       std::to_string(call.daemon));
+	}
+}
+
+void Callers::check_leaving(const SingleRequest &single, const std::string &id,
+			    const std::string &engine)
+{
+	auto told = leaving_ms_.find({ single.daemon, engine });
+
+	if (told != leaving_ms_.end() &&
+	    single.sent_ms > told->second + DRAIN_MS)
+		history_->violation("DRAIN: " + id + " reaches " + engine +
+				    " from " + std::to_string(single.daemon) +
+				    ", which knows that it is leaving");
+}
+
+void Callers::forget_leaving(int daemon)
+{
+	for (auto it = leaving_ms_.begin(); it != leaving_ms_.end();)
+		it = it->first.first == daemon ? leaving_ms_.erase(it)
+					       : std::next(it);
+}
+
+void Callers::forget_leaving(const std::string &engine)
+{
+	for (auto it = leaving_ms_.begin(); it != leaving_ms_.end();)
+		it = it->first.second == engine ? leaving_ms_.erase(it)
+						: std::next(it);
+}
+
 bool Callers::takes_plant(const std::string &name)
 {
 	if (plant != name)
@@ -351,6 +393,8 @@
 		       std::to_string(status) + " after " +
 		       std::to_string(single->ended_ms - single->sent_ms));
 	check_single(*call, single, status);
+	if (status == 200 && !single->runs.empty())
+		note_leaving(*call, *single);
 }
 
 bool Callers::is_settled() const
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -23,6 +23,7 @@
 	int64_t ended_ms = -1;
 	int status = 0; // 0: no whole answer came
 	std::vector<std::string> runs; // engines, in order
+	bool server_leaves = false; // the last engine's answer says so
 	std::vector<int64_t> run_ms;
 };
 
@@ -40,6 +41,10 @@
 	int64_t ended_ms = -1; // the end was acknowledged
 	std::vector<std::string> listed; // item and text by position
 	std::map<std::string, std::vector<int64_t>> runs; // of items
+	bool scored = false; // each item has a reward call
+	// By reward call: who answered it, and how many answers were 500.
+	std::map<std::string, std::set<std::string>> scores;
+	std::map<std::string, int> reward_failures;
 	bool busy = false; // a call is running
 	bool given_up = false;
 };
@@ -76,6 +81,16 @@
 		   const std::string &target, const std::string &team,
 		   const std::string &key, const std::string &body);
 
+	// Likewise for reward calls; returns whether the call succeeds.
+	bool on_reward(const std::string &id, const std::string &engine,
+		       const std::string &body);
+
+	// The answer to this run says that the engine is leaving.
+	void on_leaving_answer(const std::string &id);
+	// What a daemon knew of leaving engines is gone, or an engine is.
+	void forget_leaving(int daemon);
+	void forget_leaving(const std::string &engine);
+
 	// Likewise for the request that ends servers; see send_bad().
 	void on_bad_run(const std::string &id);
 	void on_server_end();
@@ -109,6 +124,14 @@
 	void check_whole(const Call &call, int status);
 	void take_results(TrainerBatch *batch, size_t from,
 			  const std::string &body);
+	void take_result(TrainerBatch *batch, size_t position,
+			 const struct json_t *result);
+	void check_score(const TrainerBatch &batch, const std::string &item,
+			 const std::string &score);
+	void check_unasked(const TrainerBatch &batch, const std::string &id);
+	void check_leaving(const SingleRequest &single, const std::string &id,
+			   const std::string &engine);
+	void note_leaving(const Call &call, const SingleRequest &single);
 	bool takes_plant(const std::string &name);
 	void finish(Call *call);
 
@@ -129,6 +152,9 @@
 	int64_t next_bad_ms_ = 0;
 	std::map<std::string, std::unique_ptr<TrainerBatch>> batches_;
 	std::map<std::string, TrainerBatch *> by_item_;
+	std::map<std::string, TrainerBatch *> by_reward_;
+	// When a daemon passed on that an engine is leaving.
+	std::map<std::pair<int, std::string>, int64_t> leaving_ms_;
 	std::set<Call *> calls_;
 	friend struct CallHooks;
 };
--- a/soak/ending_server.h
+++ b/soak/ending_server.h
@@ -31,6 +31,7 @@
 	Proxy link; // to the server
 	std::string service;
 	int64_t born_ms = 1;
+	bool leaving = false; // its answers say so
 	std::function<void()> on_end;
 
       private:
--- a/soak/store_standin.cc
+++ b/soak/store_standin.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <jansson.h>
 
+#include <algorithm>
 #include <cstring>
 
 extern "C" {
@@ -11,6 +12,7 @@
 }
 
 static const int64_t TIMEOUT_NS = 1500 * NS_PER_MS;
+static const int64_t LEASE_MS = 1500; // as the daemons have it
 
 struct StoreStandin::Call {
 	struct net_request_owner owner;
@@ -313,6 +315,26 @@
 		answer(call, common_status(newest->outcome), "");
 }
 
+void StoreStandin::check_turn(const std::string &holder, uint64_t fence)
+{
+	int64_t now_ms = history_->now_ms();
+
+	if (fence < highest_fence_)
+		history_->violation("ONE: " + holder + " calls with fence " +
+				    std::to_string(fence) + " after " +
+				    std::to_string(highest_fence_));
+	if (!turns_.empty() && turns_.back().holder == holder) {
+		turns_.back().last_ms = now_ms;
+		return;
+	}
+	for (const Turn &turn : turns_)
+		if (turn.holder == holder && now_ms < turn.last_ms + LEASE_MS)
+			history_->violation("ONE: " + holder + " and " +
+					    turns_.back().holder +
+					    " take turns within the lease");
+	turns_.push_back({ holder, now_ms });
+}
+
 // One figure a window, and one holder a fence.
 void StoreStandin::usage(struct net_request *request)
 {
@@ -337,13 +359,19 @@
 				    " is used by " + holder + " and " +
 				    fences_[fence]);
 	fences_[fence] = holder;
-	if (fence < highest_fence_) {
+	if (!fencing && !(is_excused && is_excused(holder)))
+		check_turn(holder, fence);
+	if (plant_turns) {
+		check_turn("another", fence);
+		check_turn(holder, fence);
+	}
+	if (fencing && fence < highest_fence_) {
 		plain_answer(request, 409,
 			     "{\"fence\":" + std::to_string(highest_fence_) +
 				     "}");
 		return;
 	}
-	highest_fence_ = fence;
+	highest_fence_ = std::max(highest_fence_, fence);
 	if (windows_.count(window) && windows_[window] != figures)
 		history_->violation("ONE: window " + std::to_string(window) +
 				    " is reported as " + windows_[window] +
--- a/soak/trainers.cc
+++ b/soak/trainers.cc
@@ -5,6 +5,7 @@
 
 static const int64_t SUBMIT_FOR_MS = 8000;
 static const uint32_t OPEN_BATCHES = 12;
+static const int MAX_ATTEMPTS = 3; // of a reward call, as its route says
 static const int64_t KEPT_MS = 3000; // some batches are read again for long
 
 void Callers::on_trainer(void *arg, int64_t)
@@ -24,6 +25,11 @@
 		self->submit_new();
 }
 
+static std::string reward_of(const std::string &item)
+{
+	return item + "-reward";
+}
+
 void Callers::submit_new()
 {
 	std::string id = "b" + std::to_string(next_++);
@@ -34,14 +40,23 @@
 	batch->submitted_ms = history_->now_ms();
 	batch->end_early = rng_below(&rng_, 6) == 0;
 	batch->kept_ms = rng_below(&rng_, 3) == 0 ? KEPT_MS : 0;
+	batch->scored = rng_below(&rng_, 2) == 0;
 	for (int i = 0; i < 6; i++) {
 		batch->items.push_back(id + "-" + std::to_string(i));
 		by_item_[batch->items.back()] = batch.get();
+		by_reward_[reward_of(batch->items.back())] = batch.get();
 	}
 	submit(batch.get());
 	batches_[id] = std::move(batch);
 }
 
+static std::string scorer(const std::string &item)
+{
+	return ",\"scorer\":{\"id\":\"" + reward_of(item) +
+	       "\",\"host\":\"h\",\"path\":\"/s/x\","
+	       "\"body\":\"c2NvcmU=\"}";
+}
+
 static std::string submission(const TrainerBatch &batch)
 {
 	std::string out = "{\"step\":1,\"model\":\"m\",\"min_version\":1,"
@@ -54,7 +69,8 @@
 		       "\"X-Token-Count\":\"10,100\",\"X-Prompt-Prefix\":"
 		       "\"ab:10\"},\"body\":\"Ym9keQ==\",\"tokens\":50,"
 		       "\"group\":\"" +
-		       batch.id + "g" + std::to_string(i / 2) + "\"}";
+		       batch.id + "g" + std::to_string(i / 2) + "\"" +
+		       (batch.scored ? scorer(batch.items[i]) : "") + "}";
 	return out + "]}";
 }
 
@@ -135,6 +151,115 @@
 	return out;
 }
 
+void Callers::check_unasked(const TrainerBatch &batch, const std::string &id)
+{
+	if (batch.ended_ms >= 0 &&
+	    history_->now_ms() > batch.ended_ms + CANCEL_MS + SETTLE_MS)
+		history_->violation("UNASKED: " + id +
+				    " runs after the end of " + batch.id);
+}
+
+// The text of a call's item is whole no sooner than its first run allows.
+static bool is_early(const TrainerBatch &batch, const std::string &item,
+		     int64_t now_ms)
+{
+	auto runs = batch.runs.find(item);
+
+	return runs == batch.runs.end() ||
+	       now_ms < runs->second[0] + (batch.events - 1) * EVENT_MS;
+}
+
+bool Callers::on_reward(const std::string &id, const std::string &engine,
+			const std::string &body)
+{
+	auto found = by_reward_.find(id);
+	bool fails = rng_below(&rng_, 8) == 0;
+
+	if (found == by_reward_.end() || body != "score") {
+		history_->violation("UNASKED: nobody sent reward call " + id);
+		return true;
+	}
+	TrainerBatch *batch = found->second;
+	std::string item = id.substr(0, id.size() - reward_of("").size());
+
+	check_unasked(*batch, id);
+	if (is_early(*batch, item, history_->now_ms()) ||
+	    takes_plant("early_score"))
+		history_->violation("MIXED: " + id +
+				    " comes before its text is whole");
+	if (fails)
+		batch->reward_failures[id]++;
+	else
+		batch->scores[id].insert(engine);
+	history_->note("reward " + id + " at " + engine +
+		       (fails ? " fails" : ""));
+	return !fails;
+}
+
+static std::string text_of(const json_t *object, const char *name)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	return text ? text : "";
+}
+
+void Callers::check_score(const TrainerBatch &batch, const std::string &item,
+			  const std::string &score)
+{
+	auto scores = batch.scores.find(reward_of(item));
+
+	if (!batch.scored ? !score.empty()
+			  : scores == batch.scores.end() ||
+				    !scores->second.count(score))
+		history_->violation("MIXED: " + item + " has score '" + score +
+				    "'");
+}
+
+static bool may_lack_score(const TrainerBatch &batch, const std::string &item)
+{
+	auto failures = batch.reward_failures.find(reward_of(item));
+
+	return failures != batch.reward_failures.end() &&
+	       failures->second >= MAX_ATTEMPTS;
+}
+
+void Callers::take_result(TrainerBatch *batch, size_t position,
+			  const json_t *result)
+{
+	std::string item = text_of(result, "id");
+	std::string text = text_of(result, "text");
+	std::string state = text_of(result, "state");
+	std::string score = text_of(result, "score");
+	std::string entry = item + " " + text + " " + score;
+
+	if (position + 1 == batch->listed.size() &&
+	    takes_plant("moved_position"))
+		entry = batch->items[0] + " other";
+	if (batch->scored && takes_plant("other_score"))
+		score = "another";
+	if (by_item_.count(item) == 0 || by_item_[item] != batch)
+		history_->violation("MIXED: " + item + " in " + batch->id);
+	if (state != "complete" &&
+	    !(state == "dead_letter" && may_lack_score(*batch, item)))
+		history_->violation("MIXED: " + item + " is " + state);
+	if (state == "complete")
+		check_score(*batch, item, score);
+	if (state == "complete" && text != item_text(item, batch->events))
+		history_->violation("ORDER: " + item + " has '" + text + "'");
+	if (position < batch->listed.size()) {
+		if (batch->listed[position] != entry)
+			history_->violation("TWICE: position " +
+					    std::to_string(position) + " of " +
+					    batch->id + " has changed");
+		return;
+	}
+	for (const std::string &known : batch->listed)
+		if (known == entry)
+			history_->violation("TWICE: " + item +
+					    " is listed again");
+	batch->listed.push_back(entry);
+}
+
 void Callers::take_results(TrainerBatch *batch, size_t from,
 			   const std::string &body)
 {
@@ -146,41 +271,8 @@
 	if (json_integer_value(json_object_get(root, "total")) !=
 	    (json_int_t)batch->items.size())
 		history_->violation("MIXED: total of " + batch->id);
-	json_array_foreach (results, at, result) {
-		std::string item =
-			json_string_value(json_object_get(result, "id"));
-		std::string text =
-			json_string_value(json_object_get(result, "text"));
-		std::string state =
-			json_string_value(json_object_get(result, "state"));
-		std::string entry = item + " " + text;
-		size_t position = from + at;
-
-		if (position + 1 == batch->listed.size() &&
-		    takes_plant("moved_position"))
-			entry = batch->items[0] + " other";
-		if (by_item_.count(item) == 0 || by_item_[item] != batch)
-			history_->violation("MIXED: " + item + " in " +
-					    batch->id);
-		if (state != "complete")
-			history_->violation("MIXED: " + item + " is " + state);
-		if (text != item_text(item, batch->events))
-			history_->violation("ORDER: " + item + " has '" + text +
-					    "'");
-		if (position < batch->listed.size()) {
-			if (batch->listed[position] != entry)
-				history_->violation("TWICE: position " +
-						    std::to_string(position) +
-						    " of " + batch->id +
-						    " has changed");
-			continue;
-		}
-		for (const std::string &known : batch->listed)
-			if (known == entry)
-				history_->violation("TWICE: " + item +
-						    " is listed again");
-		batch->listed.push_back(entry);
-	}
+	json_array_foreach (results, at, result)
+		take_result(batch, from + at, result);
 	json_decref(root);
 }
 
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -1,5 +1,7 @@
 #include "soak/world.h"
 
+#include "soak/call.h"
+
 #include <signal.h>
 
 #include <algorithm>
@@ -13,6 +15,7 @@
 static const int64_t SETTLE_LIMIT_MS = 15000;
 static const int64_t ENTRY_TTL_MS = 1200;
 static const int64_t SERVER_DOWN_MS = 700;
+static const int64_t THAW_MS = 300; // as the platform's pages have it
 static const int MAIN_LIMIT_MS = 50; // from a program's start to main()
 
 struct World::Host {
@@ -25,6 +28,7 @@
 	DaemonProcess daemon;
 	bool expected = false; // to run
 	bool stopping = false;
+	int64_t healed_ms = -10000; // thawed, or its link works again
 };
 
 ServerReply World::run_bad(EndingServer *engine, const ServerSaw &saw)
@@ -65,6 +69,23 @@
 	for (int i = 0; i < PLAIN_SERVERS + ENGINES; i++)
 		add_engine(i, i < PLAIN_SERVERS ? "p" : "e");
 	configure();
+	store_.fencing = seed % 2 == 0;
+	store_.is_excused = [this](const std::string &holder) {
+		return is_excused(holder);
+	};
+}
+
+// Whether a call may come late because of what became of its sender.
+bool World::is_excused(const std::string &holder)
+{
+	int64_t now_ms = history_.now_ms();
+
+	if (now_ms < weather_.store_disturbed_until_ms + SETTLE_MS)
+		return true;
+	for (auto &host : hosts_)
+		if (host->daemon.name == holder)
+			return now_ms < host->healed_ms + THAW_MS;
+	return false;
 }
 
 World::~World()
@@ -80,6 +101,8 @@
  {"name":"batch","host":"h","path_prefix":"/b/","type":"rollout",
   "timeout_ms":9000,"goal_ms":300,"max_attempts":9,"due_ms":2000,
   "retention_s":60,"sticky":true,"resumable":true,"service":"e"},
+ {"name":"score","host":"h","path_prefix":"/s/","type":"idempotent",
+  "timeout_ms":1500,"goal_ms":300,"max_attempts":3,"service":"p"},
  {"name":"idem","host":"h","path_prefix":"/i/","type":"idempotent",
   "timeout_ms":1500,"goal_ms":300,"max_attempts":2,"service":"p"},
  {"name":"once","host":"h","path_prefix":"/o/","type":"non_idempotent",
@@ -109,12 +132,20 @@
 
 		if (saw.target == "/i/bad")
 			return run_bad(engine, saw);
+		reply.delay_ms = 5;
+		reply.leaving = engine->leaving;
+		if (saw.target == "/s/x") {
+			if (!callers_->on_reward(saw.id, id, saw.body))
+				reply.status = 500;
+			return reply;
+		}
 		reply.events = callers_->on_run(saw.id, id, saw.target,
 						saw.team, saw.key, saw.body);
 		reply.stream = saw.target[1] == 'b' || saw.target[1] == 'r';
-		reply.interval_ms = saw.target[1] == 'b' ? 15 : 3;
-		reply.delay_ms = 5;
+		reply.interval_ms = saw.target[1] == 'b' ? EVENT_MS : 3;
 		reply.body = "done " + saw.id;
+		if (reply.leaving)
+			callers_->on_leaving_answer(saw.id);
 		return reply;
 	};
 }
@@ -124,6 +155,7 @@
 	Host *host = hosts_[(size_t)number].get();
 
 	host->daemon.start(first);
+	callers_->forget_leaving(number);
 	host->expected = true;
 	host->stopping = false;
 	weather_.stopping_since_ms[(size_t)number] = -1;
@@ -186,6 +218,8 @@
 				daemon->process->pause();
 		});
 		add(at_ms + for_ms, "resume " + daemon->name, [=] {
+			callers_->forget_leaving(number);
+			host->healed_ms = history_.now_ms();
 			if (daemon->process->running())
 				daemon->process->resume();
 		});
@@ -221,8 +255,10 @@
 		    disturb(number, for_ms);
 		    daemon->link->set_fault(fault);
 	    });
-	add(at_ms + for_ms, "store link of " + daemon->name + " heals",
-	    [=] { daemon->link->set_fault(LinkFault::NONE); });
+	add(at_ms + for_ms, "store link of " + daemon->name + " heals", [=] {
+		host->healed_ms = history_.now_ms();
+		daemon->link->set_fault(LinkFault::NONE);
+	});
 }
 
 void World::plan_store(int64_t at_ms)
@@ -272,6 +308,31 @@
 	    [=] { store_.topics.carry_out_late(); });
 }
 
+// The server says so in its answers, and the store doesn't; then it ends, and
+// another process comes in its place.
+void World::plan_leaving(int64_t at_ms, EndingServer *engine)
+{
+	int64_t for_ms = between(&rng_, 500, 2500);
+	std::string id = engine->server.id();
+
+	add(at_ms, "server " + id + " is leaving",
+	    [=] { engine->leaving = true; });
+	add(at_ms + for_ms, "server " + id + " has left", [=] {
+		weather_.engines_disturbed_until_ms =
+			std::max(weather_.engines_disturbed_until_ms,
+				 history_.now_ms() + SERVER_DOWN_MS);
+		engine->link.set_fault(LinkFault::RESET);
+		engine->leave();
+	});
+	add(at_ms + for_ms + SERVER_DOWN_MS, "server " + id + " is back", [=] {
+		engine->leaving = false;
+		engine->link.set_fault(LinkFault::NONE);
+		engine->born_ms++;
+		callers_->forget_leaving(id);
+		engine->enter();
+	});
+}
+
 void World::plan_server(int64_t at_ms)
 {
 	int64_t for_ms = between(&rng_, 200, 2000);
@@ -282,6 +343,10 @@
 	bool dies = rng_unit(&rng_) < 0.4;
 	std::string id = engine->server.id();
 
+	if (rng_unit(&rng_) < 0.3) {
+		plan_leaving(at_ms, engine);
+		return;
+	}
 	if (dies)
 		fault = LinkFault::RESET;
 	add(at_ms, "link of server " + id + " " + link_fault_name(fault), [=] {
@@ -404,6 +469,8 @@
 	}
 	began_ms_ = history_.now_ms();
 	callers_->plant = plant;
+	store_.plant_turns = plant == "duty_turns";
+	store_.fencing = store_.fencing && !store_.plant_turns;
 	callers_->start();
 	if (with_faults)
 		plan();
--- a/soak/world.h
+++ b/soak/world.h
@@ -42,6 +42,7 @@
 
 	void configure();
 	void start_daemon(int number, bool first);
+	bool is_excused(const std::string &holder);
 	void on_server_end();
 	ServerReply run_bad(EndingServer *engine, const ServerSaw &saw);
 	void add_engine(int number, const std::string &service);
@@ -53,6 +54,7 @@
 	void plan_daemon(int64_t at_ms, int daemon);
 	void plan_store(int64_t at_ms);
 	void plan_server(int64_t at_ms);
+	void plan_leaving(int64_t at_ms, EndingServer *engine);
 	void plan_power_loss(int64_t at_ms);
 	void play(int64_t until_ms);
 	void look_after_daemons();
