soak: forget that a server leaves once another process has its place

A request that ends servers, or a planned loss, can end a server that is leaving; its entry is then another process's, which may get work. The check of DRAIN still counted it as leaving. Likewise one way to write a loopback address in t/lib-listener.cc instead of three.

--- a/soak/world.cc
+++ b/soak/world.cc
@@ -1,13 +1,13 @@
 #include "soak/world.h"
 
-#include "soak/call.h"
-
 #include <signal.h>
 
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
 
+#include "soak/call.h"
+
 static const int64_t FAULTS_FROM_MS = 1000;
 static const int64_t FAULTS_TO_MS = 7000;
 static const int64_t RECOVERY_MS = 5000;
@@ -41,9 +41,10 @@
 	return reply;
 }
 
-void World::on_server_end()
+void World::on_server_end(const std::string &id)
 {
 	callers_->on_server_end();
+	callers_->forget_leaving(id);
 	weather_.engines_disturbed_until_ms =
 		std::max(weather_.engines_disturbed_until_ms,
 			 history_.now_ms() + SERVER_DOWN_MS);
@@ -126,7 +127,7 @@
 		SERVER_DOWN_MS);
 
 	engines_.emplace_back(engine);
-	engine->on_end = [this] { on_server_end(); };
+	engine->on_end = [this, id] { on_server_end(id); };
 	engine->server.behaviour = [this, id, engine](const ServerSaw &saw) {
 		ServerReply reply;
 
@@ -363,6 +364,7 @@
 	add(at_ms + for_ms, "server " + id + " is back", [=] {
 		engine->link.set_fault(LinkFault::NONE);
 		engine->born_ms++;
+		callers_->forget_leaving(id);
 		if (dies)
 			engine->enter();
 	});
--- a/soak/world.h
+++ b/soak/world.h
@@ -43,7 +43,7 @@
 	void configure();
 	void start_daemon(int number, bool first);
 	bool is_excused(const std::string &holder);
-	void on_server_end();
+	void on_server_end(const std::string &id);
 	ServerReply run_bad(EndingServer *engine, const ServerSaw &saw);
 	void add_engine(int number, const std::string &service);
 	bool wait_ready();
--- a/t/lib-listener.cc
+++ b/t/lib-listener.cc
@@ -4,14 +4,22 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-int listen_on_loopback(int backlog, int *port)
+static struct sockaddr_in loopback(int port)
 {
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	struct sockaddr_in address = {};
-	socklen_t len = sizeof(address);
 
 	address.sin_family = AF_INET;
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)port);
+	return address;
+}
+
+int listen_on_loopback(int backlog, int *port)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_in address = loopback(0);
+	socklen_t len = sizeof(address);
+
 	if (bind(fd, (struct sockaddr *)&address, len) || listen(fd, backlog) ||
 	    getsockname(fd, (struct sockaddr *)&address, &len)) {
 		close(fd);
@@ -24,13 +32,10 @@
 int hold_on_loopback(int *port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct sockaddr_in address = {};
+	struct sockaddr_in address = loopback(*port);
 	socklen_t len = sizeof(address);
 	int on = 1;
 
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons((uint16_t)*port);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(fd, (struct sockaddr *)&address, len) ||
 	    getsockname(fd, (struct sockaddr *)&address, &len)) {
@@ -44,13 +49,9 @@
 bool is_free_on_loopback(int port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct sockaddr_in address = {};
-	bool ok;
+	struct sockaddr_in address = loopback(port);
+	bool ok = !bind(fd, (struct sockaddr *)&address, sizeof(address));
 
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons((uint16_t)port);
-	ok = !bind(fd, (struct sockaddr *)&address, sizeof(address));
 	close(fd);
 	return ok;
 }
