soak: plant faults so that they are always met

It marked one engine for one daemon, and the request that ends servers can end that engine before the 500 ms are over, upon which the mark rightly goes. Before it stayed. Likewise other_score was used up by a result that has no score.

The first now marks each engine that answers, the second waits for a whole result. The checks themselves are the same.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -288,7 +288,7 @@
 {
 	const std::string &engine = single.runs.back();
 
-	if (single.server_leaves || takes_plant("unheard_leaving")) {
+	if (single.server_leaves || plant == "unheard_leaving") {
 		leaving_ms_.emplace(std::make_pair(call.daemon, engine),
 				    history_->now_ms());
 		history_->note(engine + " is leaving, told through " +
--- a/soak/trainers.cc
+++ b/soak/trainers.cc
@@ -235,7 +235,7 @@
 	if (position + 1 == batch->listed.size() &&
 	    takes_plant("moved_position"))
 		entry = batch->items[0] + " other";
-	if (batch->scored && takes_plant("other_score"))
+	if (state == "complete" && batch->scored && takes_plant("other_score"))
 		score = "another";
 	if (by_item_.count(item) == 0 || by_item_[item] != batch)
 		history_->violation("MIXED: " + item + " in " + batch->id);
