soak: take an item that is listed twice for doubled, whatever its score

With scores in the entries that are compared, a second result of an item with another score would not have been TWICE.

--- a/soak/trainers.cc
+++ b/soak/trainers.cc
@@ -254,7 +254,7 @@
 		return;
 	}
 	for (const std::string &known : batch->listed)
-		if (known == entry)
+		if (known.compare(0, item.size() + 1, item + " ") == 0)
 			history_->violation("TWICE: " + item +
 					    " is listed again");
 	batch->listed.push_back(entry);
