entry: list the signals that a daemon handles in one place

Three calls set the handlers, a list of the same three numbers blocked the signals before they go, and a 3 in the header counted them. One table serves all.

--- a/entry/entry_daemon.h
+++ b/entry/entry_daemon.h
@@ -19,6 +19,9 @@
 #include "platform/server_feed.h"
 #include "platform/store.h"
 
+/* Signals that it handles; see entry_life.c. */
+#define ENTRY_SIGNALS 3
+
 /*
  * The daemon of an entry host on the users' platform: one thread with one
  * event loop, which all parts hang on.
@@ -67,7 +70,7 @@
 	struct timer upkeep;
 	struct timer forget;
 	struct timer stop;
-	struct event *signals[3];
+	struct event *signals[ENTRY_SIGNALS];
 	int is_ready;
 	int leaving;
 	int64_t leaving_since_ns;
--- a/entry/entry_life.c
+++ b/entry/entry_life.c
@@ -188,40 +188,39 @@
 	on_stop_step(daemon, daemon->leaving_since_ns);
 }
 
-static void mask_signals(int how, const int *signals, size_t count)
+static const struct {
+	int number;
+	void (*fn)(void *arg);
+} watched[ENTRY_SIGNALS] = {
+	{ SIGTERM, on_terminate },
+	{ SIGINT, on_terminate },
+	{ SIGHUP, on_hangup },
+};
+
+static void mask_signal(int how, int number)
 {
 	sigset_t set;
 
 	sigemptyset(&set);
-	for (size_t i = 0; i < count; i++)
-		sigaddset(&set, signals[i]);
+	sigaddset(&set, number);
 	pthread_sigmask(how, &set, NULL);
 }
 
-static const int reload_signal = SIGHUP;
-
 void entry_life_hold_reload(void)
 {
-	mask_signals(SIG_BLOCK, &reload_signal, 1);
-}
-
-static int watch_signals(struct entry_daemon *daemon, struct error *err)
-{
-	return reactor_on_signal(&daemon->reactor, SIGTERM, on_terminate,
-				 daemon, &daemon->signals[0], err) ||
-	       reactor_on_signal(&daemon->reactor, SIGINT, on_terminate, daemon,
-				 &daemon->signals[1], err) ||
-	       reactor_on_signal(&daemon->reactor, SIGHUP, on_hangup, daemon,
-				 &daemon->signals[2], err);
+	mask_signal(SIG_BLOCK, SIGHUP);
 }
 
 int entry_life_init(struct entry_daemon *daemon, struct error *err)
 {
 	daemon->settings_mtime_ns = file_mtime_ns(daemon->settings_path);
 	signal(SIGPIPE, SIG_IGN);
-	if (watch_signals(daemon, err))
-		return -1;
-	mask_signals(SIG_UNBLOCK, &reload_signal, 1);
+	for (size_t i = 0; i < ENTRY_SIGNALS; i++)
+		if (reactor_on_signal(&daemon->reactor, watched[i].number,
+				      watched[i].fn, daemon,
+				      &daemon->signals[i], err))
+			return -1;
+	mask_signal(SIG_UNBLOCK, SIGHUP);
 	return 0;
 }
 
@@ -234,11 +233,11 @@
 
 void entry_life_finish(struct entry_daemon *daemon)
 {
-	static const int watched[] = { SIGTERM, SIGINT, SIGHUP };
-
-	/* Without a handler they would end the process with another status. */
-	mask_signals(SIG_BLOCK, watched, ARRAY_SIZE(watched));
-	for (uint32_t i = 0; i < ARRAY_SIZE(daemon->signals); i++)
-		if (daemon->signals[i])
-			reactor_off_signal(daemon->signals[i]);
+	for (size_t i = 0; i < ENTRY_SIGNALS; i++) {
+		if (!daemon->signals[i])
+			continue;
+		/* Without a handler it would end the process by itself. */
+		mask_signal(SIG_BLOCK, watched[i].number);
+		reactor_off_signal(daemon->signals[i]);
+	}
 }
