fleet: ask in one place whether a server is usable as the last resort

Plain servers and engines each chose between two questions of the fleet by the same condition; the fleet takes the condition now. And a listener that wants to hear of removed servers alone no longer brings an empty function for changed ones.

--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -159,12 +159,10 @@
 		   const struct run_item *item,
 		   const struct engine_state *engine, int last_resort)
 {
-	const struct fleet_server *server = engine->server;
 	int64_t now_ns = runner_now_ns(runner);
-	int takes = last_resort ? fleet_server_is_last_resort(server, now_ns)
-				: fleet_server_usable(server, now_ns);
 
-	return takes && now_ns >= engine->suspect_until_ns &&
+	return fleet_server_usable_as(engine->server, now_ns, last_resort) &&
+	       now_ns >= engine->suspect_until_ns &&
 	       version_fits(item, engine, runner_model(item));
 }
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -44,7 +44,8 @@
 static void tell_changed(struct fleet *fleet, struct fleet_server *server)
 {
 	for (struct fleet_listener *l = fleet->listeners; l; l = l->next)
-		l->changed(l, server);
+		if (l->changed)
+			l->changed(l, server);
 }
 
 static struct fleet_server **bucket_of(struct fleet *fleet, const char *id)
@@ -236,19 +237,18 @@
 	server->load.seen_ns = now_ns;
 }
 
-static int takes_work(const struct fleet_server *server)
-{
-	return !server->gone && !server->entry.leaving && !server->saw_leaving;
-}
-
 int fleet_server_usable(const struct fleet_server *server, int64_t now_ns)
 {
-	return takes_work(server) && circuit_allows(&server->circuit, now_ns);
+	return fleet_server_usable_as(server, now_ns, 0);
 }
 
-int fleet_server_is_last_resort(const struct fleet_server *server,
-				int64_t now_ns)
+int fleet_server_usable_as(const struct fleet_server *server, int64_t now_ns,
+			   int last_resort)
 {
-	return takes_work(server) &&
-	       circuit_allows_last_resort(&server->circuit, now_ns);
+	const struct circuit *circuit = &server->circuit;
+
+	if (server->gone || server->entry.leaving || server->saw_leaving)
+		return 0;
+	return last_resort ? circuit_allows_last_resort(circuit, now_ns)
+			   : circuit_allows(circuit, now_ns);
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -43,7 +43,7 @@
 
 /* Who wants to hear of changes. */
 struct fleet_listener {
-	/* A server is new, or its entry has changed. */
+	/* A server is new, or its entry has changed; may be NULL. */
 	void (*changed)(struct fleet_listener *listener,
 			struct fleet_server *server);
 	/* It is out of the table; drop references to it. */
@@ -107,8 +107,8 @@
 /* Whether new work may be sent to it now. */
 int fleet_server_usable(const struct fleet_server *server, int64_t now_ns);
 
-/* Whether it may be where no server of its service is usable. */
-int fleet_server_is_last_resort(const struct fleet_server *server,
-				int64_t now_ns);
+/* The same; as the last resort, where no server of its service is usable. */
+int fleet_server_usable_as(const struct fleet_server *server, int64_t now_ns,
+			   int last_resort);
 
 #endif
--- a/fleet/plain_servers.c
+++ b/fleet/plain_servers.c
@@ -8,11 +8,7 @@
 static int may_take(const struct fleet_server *server,
 		    const struct plain_chooser *chooser, int last_resort)
 {
-	int takes = last_resort ? fleet_server_is_last_resort(server,
-							      chooser->now_ns)
-				: fleet_server_usable(server, chooser->now_ns);
-
-	return takes &&
+	return fleet_server_usable_as(server, chooser->now_ns, last_resort) &&
 	       (!chooser->skips || !chooser->skips(chooser->arg, server));
 }
 
--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -14,13 +14,6 @@
  */
 #define SERVER_END_KNOWN_NS (10 * NS_PER_S)
 
-static void on_server_changed(struct fleet_listener *listener,
-			      struct fleet_server *server)
-{
-	(void)listener;
-	(void)server;
-}
-
 static int is_at_server(const struct crash_unanswered *run, const char *server,
 			int64_t now_ns)
 {
@@ -55,7 +48,6 @@
 	memset(watch, 0, sizeof(*watch));
 	watch->discovery = discovery;
 	watch->fleet = fleet;
-	watch->servers.changed = on_server_changed;
 	watch->servers.removed = on_server_removed;
 	fleet_add_listener(fleet, &watch->servers);
 	watch->clock = clock;
