t: wait for events where signals meet the end of a daemon

EndsWithItsStatusWhateverSignalsCome sent signals 20 us apart, by sleep, and hoped to meet the moment after the handlers are gone. The test of the whole program sends its signal in mid-stop and then without pause once the daemon says that it has stopped, read from its output.

--- a/t/test-entry-program.cc
+++ b/t/test-entry-program.cc
@@ -13,6 +13,10 @@
 
 #include "t/lib-process.h"
 
+extern "C" {
+#include "entry/entry_daemon.h"
+}
+
 static const int limit_ms = 20000;
 
 // An address of this process alone, so that fixed ports are free.
@@ -160,6 +164,33 @@
 	})) << read_file(dir.file("out"));
 }
 
+static void end_daemon(const std::string &path, int number)
+{
+	static struct entry_daemon daemon;
+	struct error err = ERROR_INIT;
+
+	if (entry_daemon_init(&daemon, path.c_str(), 0, &err)) {
+		fprintf(stderr, "%s\n", err.text);
+		_exit(EXIT_FAILURE);
+	}
+	entry_daemon_finish(&daemon);
+	raise(number);
+	_exit(EXIT_SUCCESS);
+}
+
+// Nor does one that comes when the daemon's handlers are gone.
+TEST(EntryProgram, OutlivesSignalsAfterItsHandlers)
+{
+	TempDir dir;
+	const std::string path = dir.file("settings.json");
+
+	std::ofstream(path) << settings("");
+	for (int number : { SIGHUP, SIGTERM, SIGINT })
+		EXPECT_EXIT(end_daemon(path, number),
+			    testing::ExitedWithCode(EXIT_SUCCESS), "")
+			<< number;
+}
+
 // Nor does one that comes while the program ends change its status.
 TEST(EntryProgram, EndsWithItsStatusWhateverSignalsCome)
 {
@@ -167,18 +198,29 @@
 
 	for (int number : { SIGHUP, SIGTERM, SIGINT }) {
 		SCOPED_TRACE(number);
-		Program program(settings(""));
+		TempDir dir;
+		const std::string out = dir.file("out");
+		const std::string path = dir.file("settings.json");
+		std::string line;
+		Process process;
 
-		ASSERT_TRUE(program.process.wait_until(limit_ms, [&] {
+		std::ofstream(path) << settings("");
+		ASSERT_EQ(0, mkfifo(out.c_str(), 0600));
+		ASSERT_TRUE(process.start(
+			{ built_program("currant-entryd"), path }, out));
+		std::ifstream lines(out);
+		ASSERT_TRUE(process.wait_until(limit_ms, [&] {
 			return http_get(ip + ":8406", "/v1/ready").status ==
 			       503;
-		})) << program.output();
-		program.process.signal(SIGTERM);
-		while (program.process.running()) {
-			program.process.signal(number);
-			usleep(20);
-		}
-		EXPECT_EQ(0, program.process.wait(limit_ms));
+		}));
+		process.signal(SIGTERM);
+		process.signal(number);
+		while (std::getline(lines, line) &&
+		       line.find("event=stopped") == std::string::npos)
+			;
+		while (process.running())
+			process.signal(number);
+		EXPECT_EQ(0, process.wait(limit_ms));
 	}
 }
 
