--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -31,6 +31,22 @@
 	return r;
 }
 
+ServerReply cut_reply()
+{
+	ServerReply reply;
+
+	reply.cut = true;
+	return reply;
+}
+
+ServerReply hang_reply()
+{
+	ServerReply reply;
+
+	reply.hang = true;
+	return reply;
+}
+
 ServerReply status_reply(int code, bool not_run)
 {
 	ServerReply r;
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -52,6 +52,9 @@
 // A stream of so many events; an answer with this status.
 ServerReply stream_reply(int events, int interval_ms = 1, uint64_t version = 1);
 ServerReply status_reply(int code, bool not_run = false);
+// The connection ends without an answer; it stays open, and none comes.
+ServerReply cut_reply();
+ServerReply hang_reply();
 
 // A backend server that speaks the platform's form, on a test's reactor.
 class FakeServer
