--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -289,8 +289,7 @@
 	const std::string &engine = single.runs.back();
 
 	if (single.server_leaves || plant == "unheard_leaving") {
-		leaving_ms_.emplace(std::make_pair(call.daemon, engine),
-				    history_->now_ms());
+		leaving_ms_[engine].emplace(call.daemon, history_->now_ms());
 		history_->note(engine + " is leaving, told through " +
 			       std::to_string(call.daemon));
 	}
@@ -299,10 +298,10 @@
 void Callers::check_leaving(const SingleRequest &single, const std::string &id,
 			    const std::string &engine)
 {
-	auto told = leaving_ms_.find({ single.daemon, engine });
+	const std::map<int, int64_t> &told = leaving_ms_[engine];
+	auto at = told.find(single.daemon);
 
-	if (told != leaving_ms_.end() &&
-	    single.sent_ms > told->second + DRAIN_MS)
+	if (at != told.end() && single.sent_ms > at->second + DRAIN_MS)
 		history_->violation("DRAIN: " + id + " reaches " + engine +
 				    " from " + std::to_string(single.daemon) +
 				    ", which knows that it is leaving");
@@ -310,16 +309,13 @@
 
 void Callers::forget_leaving(int daemon)
 {
-	for (auto it = leaving_ms_.begin(); it != leaving_ms_.end();)
-		it = it->first.first == daemon ? leaving_ms_.erase(it)
-					       : std::next(it);
+	for (auto &told : leaving_ms_)
+		told.second.erase(daemon);
 }
 
 void Callers::forget_leaving(const std::string &engine)
 {
-	for (auto it = leaving_ms_.begin(); it != leaving_ms_.end();)
-		it = it->first.second == engine ? leaving_ms_.erase(it)
-						: std::next(it);
+	leaving_ms_.erase(engine);
 }
 
 bool Callers::takes_plant(const std::string &name)
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -153,8 +153,8 @@
 	std::map<std::string, std::unique_ptr<TrainerBatch>> batches_;
 	std::map<std::string, TrainerBatch *> by_item_;
 	std::map<std::string, TrainerBatch *> by_reward_;
-	// When a daemon passed on that an engine is leaving.
-	std::map<std::pair<int, std::string>, int64_t> leaving_ms_;
+	// By engine: when a daemon passed on that it is leaving.
+	std::map<std::string, std::map<int, int64_t>> leaving_ms_;
 	std::set<Call *> calls_;
 	friend struct CallHooks;
 };
--- a/soak/world.h
+++ b/soak/world.h
@@ -18,6 +18,7 @@
 	static const int DAEMONS = 3;
 	static const int PLAIN_SERVERS = 4;
 	static const int ENGINES = 3;
+	static const int64_t SERVER_DOWN_MS = 700;
 
 	explicit World(uint64_t seed);
 	~World();
--- a/t/lib-listener.cc
+++ b/t/lib-listener.cc
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-static struct sockaddr_in loopback(int port)
+struct sockaddr_in loopback_address(int port)
 {
 	struct sockaddr_in address = {};
 
@@ -17,7 +17,7 @@
 int listen_on_loopback(int backlog, int *port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct sockaddr_in address = loopback(0);
+	struct sockaddr_in address = loopback_address(0);
 	socklen_t len = sizeof(address);
 
 	if (bind(fd, (struct sockaddr *)&address, len) || listen(fd, backlog) ||
@@ -32,7 +32,7 @@
 int hold_on_loopback(int *port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct sockaddr_in address = loopback(*port);
+	struct sockaddr_in address = loopback_address(*port);
 	socklen_t len = sizeof(address);
 	int on = 1;
 
@@ -49,7 +49,7 @@
 bool is_free_on_loopback(int port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct sockaddr_in address = loopback(port);
+	struct sockaddr_in address = loopback_address(port);
 	bool ok = !bind(fd, (struct sockaddr *)&address, sizeof(address));
 
 	close(fd);
--- a/t/lib-listener.h
+++ b/t/lib-listener.h
@@ -1,6 +1,10 @@
 #ifndef T_LIB_LISTENER_H
 #define T_LIB_LISTENER_H
 
+#include <netinet/in.h>
+
+struct sockaddr_in loopback_address(int port);
+
 // Listens on a free port of loopback, which goes into `*port`; returns the
 // descriptor, or -1.
 int listen_on_loopback(int backlog, int *port);
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -341,16 +341,14 @@
 		int64_t end_ns, placed_ns = 0;
 		Submission submission;
 		BatchHost *host = add_host("a", 1 + (uint64_t)(&c - cases));
-		ServerReply crash;
 
-		crash.cut = true;
 		submission.id = "b" + std::to_string(&c - cases);
 		submission.groups = submission.group_size = 1;
 		end_ns = reactor_now_ns(&loop_.reactor) + c.for_ms * NS_PER_MS;
 		for (const char *id : { "first", "second", "third" })
 			add_engine(id, [&](const ServerSaw &saw) {
 				if (saw.at_ns < end_ns)
-					return crash;
+					return cut_reply();
 				placed_ns = placed_ns ? placed_ns : saw.at_ns;
 				return stream_reply(4);
 			});
--- a/t/test-forward-crashes.cc
+++ b/t/test-forward-crashes.cc
@@ -239,10 +239,8 @@
 
 	forwarder_.crashes = &crashes.watch;
 	configure();
-	ServerReply crash;
-	crash.cut = true;
-	add("a", [crash](const ServerSaw &saw) {
-		return saw.target == "/o/bad" ? crash : ServerReply();
+	add("a", [](const ServerSaw &saw) {
+		return saw.target == "/o/bad" ? cut_reply() : ServerReply();
 	});
 	for (int i = 0; i < 3; i++) {
 		EXPECT_EQ(502, status(ask(request("/o/bad"))));
--- a/t/test-proxy.cc
+++ b/t/test-proxy.cc
@@ -18,14 +18,10 @@
 
 static bool connects(int port)
 {
-	struct sockaddr_in address = {};
+	struct sockaddr_in address = loopback_address(port);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	bool ok;
+	bool ok = !connect(fd, (struct sockaddr *)&address, sizeof(address));
 
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons((uint16_t)port);
-	ok = !connect(fd, (struct sockaddr *)&address, sizeof(address));
 	close(fd);
 	return ok;
 }
