review: add case 5 (LOST), a rolling stop leaves engines on old weights

The daemon that runs a model's submissions is stopped in a roll while a step waits for new weights and an older submission of the same model is open. The next daemon publishes the weights that the older one needs last, and the rest of the engines is never told to load.

The stand-ins' steps may allow their own version alone, trainers keep off daemons that stop, and a daemon that is signalled before exec no longer runs the script's own handler.

--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,158 +1,164 @@
 /*
- * The operator moves a trainer's route to another service of engines in the
- * middle of a step. Engines of both services take orders and are sound.
+ * The daemon that runs a model's batch submissions is stopped in a roll while
+ * the trainer's step waits for new weights and an older submission for the
+ * same model is open: which of the two decides about the weights afterwards?
  */
+#define _GNU_SOURCE
+#include "step.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "step.h"
+#define MODEL "daka510000"
+#define SERVICE "huvo11a"
+#define PATH "/pufi791/"
+#define DAEMONS 3
+#define ENGINES 12
+#define SLOTS 4
+#define EVENT_MS 300
+#define STEP_EVENTS 10
+/* Of the older submission: its first item is short, the others are long. */
+#define OLDER_ID "aa00bb11cc22dd33"
+#define OLDER_ITEMS 4
+#define SHORT_EVENTS 2
+#define LONG_EVENTS 120
+#define OLDER_RUNS_MS 1500 /* until its first item has its result */
+#define STEP 3
+#define STEP_ITEMS 160
+#define GROUP_SIZE 4
+#define BUDGET_MS 24000
+#define STOP_AFTER_MS 400 /* of the step's 202 */
 
-#define FOLDER "review/5"
-#define CONTACT_MS 3000
-#define DAEMONS 4
-#define ENGINES 4 /* two of each service */
-#define ITEMS 40
-#define GROUP_SIZE 8
-#define TARGET_GROUPS 5
-#define EVENTS 50
-#define EVENT_EVERY_MS 58
-#define MAX_TOKENS 2400
-#define BUDGET_MS 12000
-#define TRAINING_MS 1000
-#define MOVED_AFTER_MS 500 /* after the 202 */
-#define STEPS_BEFORE 4
+static const char config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r-sr7i427\","
+    "\"host\":\"" BATCH_HOST "\",\"path_prefix\":\"" PATH "\","
+    "\"type\":\"rollout\",\"timeout_ms\":10000,\"goal_ms\":400,"
+    "\"priority\":1,\"service\":\"" SERVICE "\",\"max_attempts\":3,"
+    "\"retention_s\":40.0,\"due_ms\":7500,\"single_version\":false,"
+    "\"public\":false,\"sticky\":true,\"resumable\":true}],"
+    "\"services\":[{\"name\":\"" SERVICE "\","
+    "\"health_path\":\"/healthz\",\"max_conns\":150,"
+    "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":4,"
+    "\"kv_capacity\":31960,\"stride\":43,"
+    "\"models\":[{\"name\":\"" MODEL "\"}]}}],"
+    "\"limits\":{\"max_header_bytes\":16384,"
+    "\"max_body_bytes\":33554432,\"header_timeout_ms\":3000,"
+    "\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"" BATCH_TENANT "\","
+    "\"api_keys\":[\"" BATCH_KEY "\"],\"priority\":1}]}";
 
-#define SERVICE(name)                                                          \
-	"{\"name\":\"" name "\",\"health_path\":\"/healthz\","                 \
-	"\"max_conns\":150,\"protocol\":\"h1\",\"tls\":false,"                 \
-	"\"engine\":{\"slots\":12,\"kv_capacity\":31960,"                      \
-	"\"kv_token_bytes\":18432,\"stride\":20,"                              \
-	"\"models\":[{\"name\":\"m0\"}]}}"
+static struct engine engines[ENGINES];
+static int owner; /* number of the daemon that runs the submissions */
 
-#define CONFIG(version, service)                                                        \
-	"{\"version\":" version ",\"routes\":["                                         \
-	"{\"name\":\"r-0\",\"host\":\"" BATCH_HOST "\","                                \
-	"\"path_prefix\":\"/m0/\",\"type\":\"rollout\","                                \
-	"\"timeout_ms\":10000,\"goal_ms\":400,\"priority\":1,"                          \
-	"\"service\":\"" service "\",\"max_attempts\":3,"                               \
-	"\"retention_s\":40.0,\"due_ms\":7500,\"single_version\":false,"                \
-	"\"public\":false,\"sticky\":true,\"resumable\":true}],"                        \
-	"\"services\":[" SERVICE("scenario-lm") "," SERVICE(                            \
-		"scenario-b") "],"                                                      \
-			      "\"limits\":{\"max_header_bytes\":16384,"                 \
-			      "\"max_body_bytes\":33554432,\"header_timeout_ms\":3000," \
-			      "\"idle_timeout_ms\":15000},"                             \
-			      "\"tenants\":[{\"name\":\"" BATCH_TENANT                  \
-			      "\",\"api_keys\":["                                       \
-			      "\"" BATCH_KEY "\"],\"priority\":1}]}"
-
-static const char first_config[] = CONFIG("7", "scenario-lm");
-static const char second_config[] = CONFIG("11", "scenario-b");
+static int event_count(const char *id) {
+  if (strncmp(id, OLDER_ID, strlen(OLDER_ID)))
+    return STEP_EVENTS;
+  return strcmp(id, OLDER_ID "i000") ? LONG_EVENTS : SHORT_EVENTS;
+}
 
+/* Sends the events after the last one that the request names. */
 static int send_events(struct engine *engine, struct channel *channel,
-		       const char *id, int from)
-{
-	int version = engine_version(engine, "m0");
-	char fields[256];
+                       const char *id, int last, int version) {
+  char line[64];
 
-	item_fields(id, version, fields, sizeof(fields));
-	if (channel_begin(channel, 200, fields))
-		return -1;
-	for (int event = from; event <= EVENTS; event++) {
-		int now;
-		char text[256];
-		int len = 0;
+  for (int event = last + 1; event <= event_count(id); event++) {
+    int now = atomic_load(&engine->version);
 
-		sleep_ms(EVENT_EVERY_MS);
-		now = engine_version(engine, "m0");
-		if (now != version)
-			len = snprintf(text, sizeof(text),
-				       "x-weight-versions: %d\n", now);
-		version = now;
-		len += snprintf(text + len, sizeof(text) - (size_t)len,
-				"id: %d\ndata: %s part %d\n\n", event, id,
-				event);
-		if (channel_is_closed(channel) ||
-		    channel_chunk(channel, text, (size_t)len))
-			return -1;
-	}
-	return channel_finish(channel);
+    sleep_ms(EVENT_MS);
+    if (channel_is_closed(channel))
+      return -1;
+    line[0] = '\0';
+    if (now != version)
+      snprintf(line, sizeof(line), "x-weight-versions: %d\n", now);
+    version = now;
+    snprintf(line + strlen(line), sizeof(line) - strlen(line),
+             "id: %d\ndata: e%d\n\n", event, event);
+    if (channel_chunk(channel, line, strlen(line)))
+      return -1;
+  }
+  return channel_finish(channel);
 }
 
 static void run_item(struct engine *engine, struct channel *channel,
-		     const struct message *request, const char *id)
-{
-	int from = item_last_event(request) + 1;
-	int result;
+                     const struct message *request, const char *id) {
+  int last = item_last_event(request);
+  int version = atomic_load(&engine->version);
+  char fields[256];
+  int failed;
 
-	note("engine %s (%s): runs %s from event %d, version %d", engine->id,
-	     engine->service, id, from, engine_version(engine, "m0"));
-	step_run_begins(id);
-	result = send_events(engine, channel, id, from);
-	step_run_ends(id, !result);
-	channel->close_after = result != 0;
+  step_run_begins(id);
+  note("engine %s: runs %s after event %d, version %d", engine->id, id, last,
+       version);
+  item_fields(id, version, fields, sizeof(fields));
+  failed = channel_begin(channel, 200, fields) ||
+           send_events(engine, channel, id, last, version);
+  step_run_ends(id, !failed);
+  if (failed)
+    channel->close_after = 1;
 }
 
-#define ENGINE(name, of)                                                       \
-	{                                                                      \
-		.id = name, .service = of, .model = "m0", .version = 1,        \
-		.slots = 12, .run = run_item                                   \
-	}
+static void stop_owner(void) { daemon_stop(owner); }
 
-static struct engine engines[ENGINES] = { ENGINE("i-lm-1", "scenario-lm"),
-					  ENGINE("i-lm-2", "scenario-lm"),
-					  ENGINE("i-b-1", "scenario-b"),
-					  ENGINE("i-b-2", "scenario-b") };
+static void start_engines(void) {
+  for (int i = 0; i < ENGINES; i++) {
+    struct engine *engine = &engines[i];
 
-static void move_route(void)
-{
-	store_put("keyed.op", "config", second_config);
-	note("operator: version 11, which moves the route to scenario-b, is "
-	     "acknowledged");
+    snprintf(engine->id, sizeof(engine->id), "i-%02d", i);
+    engine->service = SERVICE;
+    engine->model = MODEL;
+    atomic_store(&engine->version, STEP - 1);
+    engine->slots = SLOTS;
+    engine->run = run_item;
+    engine_start(engine);
+  }
 }
 
-int main(void)
-{
-	const struct steps steps = {
-		.shape = { .path = "/m0/",
-			   .model = "m0",
-			   .item_model = "m0",
-			   .items = ITEMS,
-			   .group_size = GROUP_SIZE,
-			   .max_tokens = MAX_TOKENS },
-		.target_groups = TARGET_GROUPS,
-		.budget_ms = BUDGET_MS,
-		.engines = engines,
-		.engine_count = ENGINES,
-		.daemons = DAEMONS,
-	};
-	int version = 1;
-	int lost;
+int main(void) {
+  const struct batch_shape older = {
+      .id = OLDER_ID,
+      .path = PATH,
+      .model = MODEL,
+      .step = 1,
+      .min_version = 1,
+      .item_model = MODEL,
+      .items = OLDER_ITEMS,
+      .group_size = OLDER_ITEMS,
+  };
+  const struct steps steps = {
+      .shape = {.path = PATH,
+                .model = MODEL,
+                .item_model = MODEL,
+                .items = STEP_ITEMS,
+                .group_size = GROUP_SIZE},
+      .target_groups = STEP_ITEMS / GROUP_SIZE,
+      .budget_ms = BUDGET_MS,
+      .newest_only = 1,
+      .engines = engines,
+      .engine_count = ENGINES,
+      .daemons = DAEMONS,
+  };
 
-	world_init(FOLDER);
-	store_start();
-	store_put("keyed.op", "config", first_config);
-	for (int i = 0; i < ENGINES; i++)
-		engine_start(&engines[i]);
-	for (int i = 0; i < DAEMONS; i++)
-		daemon_start(i);
-	for (int i = 0; i < DAEMONS; i++)
-		daemon_wait_ready(i);
-	sleep_ms(CONTACT_MS + 500);
-	for (int i = 0; i < STEPS_BEFORE; i++) {
-		step_play(&steps, ++version, NULL, 0);
-		if (!step_was_whole())
-			give_up("a step before runs out of time");
-		sleep_ms(TRAINING_MS);
-	}
-	lost = step_play(&steps, ++version, trouble ? move_route : NULL,
-			 MOVED_AFTER_MS);
-	sleep_ms(TRAINING_MS);
-	/* The next step shows that the route works where it is now. */
-	lost += step_play(&steps, ++version, NULL, 0);
-	note("LOST: %d items, which no engine had finished or failed, had been "
-	     "at no engine for 5 s when their step ran out of time; none may",
-	     lost);
-	return world_end(lost ? RULE_BROKEN : RULE_HELD);
+  world_init("review/5");
+  store_start();
+  store_put("keyed.op", "config", config);
+  start_engines();
+  name_version(MODEL, STEP - 1);
+  for (int i = 0; i < DAEMONS; i++)
+    daemon_start(i);
+  for (int i = 0; i < DAEMONS; i++)
+    daemon_wait_ready(i);
+  sleep_ms(3000);
+  if (batch_submit(daemons[0].front, &older) != 202)
+    give_up("the older submission is not accepted");
+  sleep_ms(OLDER_RUNS_MS);
+  owner = store_last_appender("batch");
+  if (owner < 0)
+    give_up("nobody runs the older submission");
+  note("daemon d%d runs the submissions of " MODEL, owner);
+  if (step_play(&steps, STEP, trouble ? stop_owner : NULL, STOP_AFTER_MS))
+    return world_end(RULE_BROKEN);
+  if (!trouble && !step_was_whole())
+    give_up("the step runs out of time without trouble");
+  return world_end(RULE_HELD);
 }
--- a/review/standin/step.c
+++ b/review/standin/step.c
@@ -92,9 +92,16 @@
 	return was_whole;
 }
 
+/* The directory no longer names daemons that stop. */
 static const char *any_front(const struct steps *steps)
 {
-	return daemons[rand_r(&seed) % (unsigned int)steps->daemons].front;
+	unsigned int number;
+
+	do
+		number = (unsigned int)rand_r(&seed) %
+			 (unsigned int)steps->daemons;
+	while (daemons[number].stopping);
+	return daemons[number].front;
 }
 
 static int group_count(const struct steps *steps)
@@ -216,7 +223,9 @@
 	pthread_mutex_unlock(&lock);
 	shape.id = step_id;
 	shape.step = version;
-	shape.min_version = version > 1 ? version - 1 : 1;
+	shape.min_version = version;
+	if (!steps->newest_only && version > 1)
+		shape.min_version--;
 	name_version(shape.model, version);
 	named_ms = now_ms();
 	if (batch_submit(any_front(steps), &shape) != 202)
--- a/review/standin/step.h
+++ b/review/standin/step.h
@@ -15,6 +15,8 @@
 		shape; /* of each step; `id` and `step` are set here */
 	int target_groups; /* the trainer waits for these */
 	int64_t budget_ms; /* its time budget */
+	/* A step allows its own version alone; else the one before, too. */
+	int newest_only;
 	struct engine *engines;
 	size_t engine_count;
 	int daemons;
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1624,6 +1624,8 @@
 	char settings[128];
 	char log_path[128];
 	char *words[16];
+	sigset_t before;
+	sigset_t all;
 
 	daemon->number = number;
 	daemon->stopping = 0;
@@ -1643,10 +1645,18 @@
 	snprintf(log_path, sizeof(log_path), "%s/d%d.log", temp_folder, number);
 	write_settings(daemon, settings);
 	read_command(words, ARRAY_SIZE(words));
+	/* A signal that comes before exec is for the daemon, not for us. */
+	sigfillset(&all);
+	pthread_sigmask(SIG_SETMASK, &all, &before);
 	daemon->pid = fork();
 	if (!daemon->pid) {
 		int out = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+		signal(SIGTERM, SIG_DFL);
+		signal(SIGINT, SIG_DFL);
+		signal(SIGALRM, SIG_DFL);
+		signal(SIGPIPE, SIG_DFL);
+		pthread_sigmask(SIG_SETMASK, &before, NULL);
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(out, 1);
 		dup2(out, 2);
@@ -1654,6 +1664,7 @@
 		execv(words[0], words);
 		_exit(127);
 	}
+	pthread_sigmask(SIG_SETMASK, &before, NULL);
 	note("daemon d%d: start %d", number, daemon->starts);
 }
 
