--- a/request/service_call.h
+++ b/request/service_call.h
@@ -19,11 +19,12 @@
 	struct request_life life;
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
+	/* The next four are under `lock`. */
 	int done;
-	int too_large;
 	int cancelled; /* by a withdrawal */
 	uint64_t call_id;
 	struct problem problem; /* of the withdrawal */
+	int too_large;
 	struct strbuf answer;
 	struct server_pick pick;
 	char pool[NAME_BYTES];
