http: open ports only once all of them are set up

start_ports() of currantd starts one port after the other, and each served requests as soon as it was bound. The status of operators and GET /v1/addresses read the counts and addresses of the other ports, which http_server_start() was still clearing: a data race in http_server_running() under the thread sanitizer. By the code, though never seen, a caller could also be given an address with port 0.

http_server_start() now only binds the port. http_server_open() installs the handler, and the daemon opens its ports after the last one was set up. A request that comes before is answered 503 with Retry-After and has not run; in that moment it used to be 404, "malformed_request".

Starting the port of operators last would not do: /v1/addresses at one port of callers reads the other one.

HttpServerBeforeOpen.RequestsAreRefusedUntilAllPortsAreSetUp: before the change the port served at once, so the test could not have passed.

--- a/app/daemon.c
+++ b/app/daemon.c
@@ -187,8 +187,14 @@
 		       "latency", caller_api_handle, &daemon->latency_port,
 		       err))
 		return -1;
-	return start_port(daemon, &daemon->batch, &daemon->settings.batch,
-			  "batch", caller_api_handle, &daemon->batch_port, err);
+	if (start_port(daemon, &daemon->batch, &daemon->settings.batch, "batch",
+		       caller_api_handle, &daemon->batch_port, err))
+		return -1;
+	/* The handlers of each port read the counts and addresses of others. */
+	http_server_open(&daemon->operators);
+	http_server_open(&daemon->latency);
+	http_server_open(&daemon->batch);
+	return 0;
 }
 
 uint32_t daemon_requests_running(struct daemon *daemon)
--- a/http/server.c
+++ b/http/server.c
@@ -24,6 +24,9 @@
 #define BODY_TIMEOUT_MS 20000
 #define KEEP_ALIVE_TIMEOUT_MS "2000"
 #define NO_THREAD_RETRY_AFTER_NS (1 * NS_PER_S)
+#define STARTING_RETRY_AFTER_NS (1 * NS_PER_S)
+/* CivetWeb's own status for a request that no handler takes. */
+#define STATUS_NO_HANDLER 404
 
 static const struct problem problem_no_thread = {
 	.status = 503,
@@ -33,6 +36,14 @@
 	.retry_after_ns = NO_THREAD_RETRY_AFTER_NS,
 };
 
+static const struct problem problem_starting = {
+	.status = 503,
+	.type = "starting",
+	.detail = "the daemon is starting and serves no requests yet",
+	.run = RUN_NOT_RUN,
+	.retry_after_ns = STARTING_RETRY_AFTER_NS,
+};
+
 static int is_number(const char *text)
 {
 	return *text && !text[strspn(text, "0123456789")];
@@ -170,8 +181,8 @@
 }
 
 /*
- * Called for headers that CivetWeb itself rejects; on_request() is not called
- * for them.
+ * Called for headers that CivetWeb itself rejects, and for all requests before
+ * http_server_open(); on_request() is not called for them.
  */
 static int on_http_error(struct mg_connection *connection, int status,
 			 const char *text)
@@ -179,6 +190,11 @@
 	struct http_exchange exchange = { .connection = connection };
 
 	(void)text; /* may contain raw bytes of the headers */
+	if (status == STATUS_NO_HANDLER) {
+		exchange.close_after = 1;
+		http_exchange_send_problem(&exchange, &problem_starting);
+		return 0;
+	}
 	if (status == 505) /* mostly a request line without a version */
 		status = 400;
 	reject(&exchange, status, "malformed_request",
@@ -273,10 +289,14 @@
 		server->context = NULL;
 		return -1;
 	}
-	mg_set_request_handler(server->context, "/", on_request, server);
 	return 0;
 }
 
+void http_server_open(struct http_server *server)
+{
+	mg_set_request_handler(server->context, "/", on_request, server);
+}
+
 void http_server_drain(struct http_server *server)
 {
 	__atomic_store_n(&server->draining, 1, __ATOMIC_RELEASE);
--- a/http/server.h
+++ b/http/server.h
@@ -48,11 +48,18 @@
 	struct read_watch read_watch;
 };
 
+/*
+ * Listens on the port. Requests are answered 503 until http_server_open().
+ * Returns -1 with `err` filled in if the port cannot be bound.
+ */
 int http_server_start(struct http_server *server,
 		      const struct http_server_settings *settings,
 		      http_handler handler, void *arg,
 		      struct counter_set *counters, struct error *err);
 
+/* Passes requests to the handler from now on. */
+void http_server_open(struct http_server *server);
+
 /* From now on each response closes its connection. */
 void http_server_drain(struct http_server *server);
 
--- a/t/lib-fake-daemon.cc
+++ b/t/lib-fake-daemon.cc
@@ -13,6 +13,7 @@
 	if (http_server_start(&server_, &settings, handle, this, &counters_,
 			      &err))
 		abort();
+	http_server_open(&server_);
 }
 
 FakeDaemon::~FakeDaemon()
--- a/t/test-http-server.cc
+++ b/t/test-http-server.cc
@@ -128,6 +128,8 @@
 		ASSERT_EQ(0, http_server_start(&server, &settings, echo,
 					       nullptr, &counters, &err))
 			<< err.text;
+		if (opens)
+			http_server_open(&server);
 	}
 
 	void TearDown() override
@@ -150,8 +152,33 @@
 
 	struct counter_set counters;
 	struct http_server server = {};
+	bool opens = true;
 };
 
+class HttpServerBeforeOpen : public HttpServer
+{
+      protected:
+	HttpServerBeforeOpen()
+	{
+		opens = false;
+	}
+};
+
+// A handler ran as soon as its own port was bound, and read the other ports of
+// the daemon while they were still being set up.
+TEST_F(HttpServerBeforeOpen, RequestsAreRefusedUntilAllPortsAreSetUp)
+{
+	Connection one(server.port);
+
+	one.send_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	std::string got = one.read_to_end();
+	EXPECT_EQ(0u, got.find("HTTP/1.1 503 ")) << got;
+	EXPECT_NE(std::string::npos, got.find("Retry-After: ")) << got;
+	EXPECT_NE(std::string::npos, got.find("\"starting\"")) << got;
+	http_server_open(&server);
+	expect_serving();
+}
+
 // One byte every 20 ms is within the limit between two bytes; the body as a
 // whole exceeds its timeout.
 TEST_F(HttpServer, TrickledBodyIsRefusedInTime)
