batch: refuse an event that a result cannot carry

Cause: add_event() took any bytes for an event's data. The text was stored as complete, but JSON carries only UTF-8, so encode_result() failed and with it the whole answer. Evidence: the 500 is the one of answer_results(), "a result cannot be written", whose only cause is json_pack(); the batch can be read as long as the item isn't listed.

An event that is not UTF-8 now ends the attempt as a cut stream does, and the next attempt asks for the events from this one on. A line names the item and the server. This works since nothing invalid gets into a text any more: events are joined by line feeds, so a text is valid if each event is, and the check is the encoder's own.

Texts that older daemons stored stay in the log: a handed over one is dropped and made again, and a listed one is answered as a dead letter, so that all other results can be read. The same cause at reward calls: a receipt that is not UTF-8 was silently left out of a complete result; the call is repeated now.

--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -179,7 +179,10 @@
 	view->score = text->record->text->score;
 }
 
-/* Serializes the first `count` results; -1 if one cannot be encoded. */
+/*
+ * Serializes the first `count` results. Returns the number of those whose text
+ * cannot be returned, or -1 if the answer cannot be encoded.
+ */
 static int write_results(const struct batch_call *call,
 			 const struct batch *batch, uint32_t count,
 			 struct strbuf *body)
@@ -201,16 +204,18 @@
 	struct net_request *request = call->request;
 	uint32_t count = results_load_ready(&call->results);
 	struct strbuf body;
+	int unreadable;
 
 	if (!count && call->results.count) {
 		refuse_store(call);
 		return;
 	}
 	strbuf_init(&body);
-	if (write_results(call, batch, count, &body)) {
+	unreadable = write_results(call, batch, count, &body);
+	if (unreadable < 0) {
 		refuse(call, 500, "internal", "a result cannot be written", -1);
 	} else {
-		log_call(call, 200, NULL, count);
+		log_call(call, 200, unreadable ? "text_not_utf8" : NULL, count);
 		free_call(call);
 		answer_json_text(request, 200, body.buf, body.len);
 	}
--- a/batch/item_attempt.c
+++ b/batch/item_attempt.c
@@ -127,7 +127,24 @@
 	attempt->engine->starts_over = 1;
 }
 
-/* Returns -1 if the stream cannot belong to this item. */
+static void log_invalid_event(const struct item_attempt *attempt,
+			      const struct server_event *event)
+{
+	struct record record;
+
+	record_begin(&record, attempt->owner->log, "items", "event_invalid");
+	record_text(&record, "batch", batch_of(attempt)->id);
+	record_text(&record, "item", active_item_id(attempt->item));
+	record_text(&record, "server", attempt->engine->server->entry.id);
+	record_int(&record, "event", event->id);
+	record_text(&record, "reason", "not_utf8");
+	record_end(&record);
+}
+
+/*
+ * Returns -1 if the stream cannot belong to this item, or if a result cannot
+ * carry the event; another attempt then continues before this event.
+ */
 static int add_event(struct item_attempt *attempt,
 		     const struct server_event *event)
 {
@@ -147,6 +164,10 @@
 	attempt->unfit = !version_is_allowed(attempt);
 	if (attempt->unfit)
 		return -1;
+	if (!platform_batch_text_is_valid(event->data.buf, event->data.len)) {
+		log_invalid_event(attempt, event);
+		return -1;
+	}
 	attempt->event_count++;
 	observe_event(attempt, reactor_now_ns(attempt->reactor));
 	return item_text_add(output, event->id, event->data.buf,
--- a/batch/reward_call.c
+++ b/batch/reward_call.c
@@ -1,6 +1,7 @@
 #include "batch/reward_call.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/alloc.h"
 #include "platform/batch_codec.h"
@@ -50,7 +51,8 @@
 	if (call->answer.status >= 300)
 		return NET_HEAD_ACCEPT;
 	receipt = platform_answer_receipt(net->answer);
-	if (!receipt || !*receipt)
+	if (!receipt || !*receipt ||
+	    !platform_batch_text_is_valid(receipt, strlen(receipt)))
 		return NET_HEAD_REJECT;
 	free(call->score);
 	call->score = xstrdup(receipt);
--- a/batch/runner_progress.c
+++ b/batch/runner_progress.c
@@ -1,4 +1,5 @@
 #include "batch/batch_runner_private.h"
+#include "platform/batch_codec.h"
 
 /* The texts of one handover are close together in the log. */
 #define READ_BYTES (1024 * 1024)
@@ -33,7 +34,9 @@
 
 	if (item->state != ACTIVE_ITEM_WAITING ||
 	    progress->last_event <= output->last_event ||
-	    progress->n_versions > ITEM_VERSIONS_MAX)
+	    progress->n_versions > ITEM_VERSIONS_MAX ||
+	    !platform_batch_text_is_valid((const char *)text->text.data,
+					  text->text.len))
 		return;
 	item_text_reset(output);
 	strbuf_add(&output->text, text->text.data, text->text.len);
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -217,7 +217,9 @@
 		  (reply.wrong_id.empty() ? run->saw.id : reply.wrong_id) +
 		  "\r\n";
 	if (!reply.no_receipt && !reply.not_run)
-		fields += "X-Response-Stamp: " + id_ + "\r\n";
+		fields += "X-Response-Stamp: " +
+			  (reply.receipt.empty() ? id_ : reply.receipt) +
+			  "\r\n";
 	if (reply.leaving)
 		fields += "Server-Leaving: 1\r\n";
 	if (reply.not_run)
@@ -261,8 +263,9 @@
 	if (run->event == reply.new_version_at)
 		text = "x-weight-versions: " +
 		       std::to_string(reply.version + 1) + "\n";
-	text += "id: " + std::to_string(run->event) + "\ndata: " + run->saw.id +
-		"." + std::to_string(run->event) +
+	text += "id: " + std::to_string(run->event) + "\ndata: " +
+		(run->event == reply.spoiled_at ? reply.spoiled : "") +
+		run->saw.id + "." + std::to_string(run->event) +
 		std::string(reply.event_bytes, '"') + "\n\n";
 	if (reply.torn_after >= 0 && run->event > reply.torn_after) {
 		net_request_write(request, text.data(), text.size() / 2);
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -26,6 +26,7 @@
 	bool not_run = false;
 	bool other_instance = false; // another server has the address now
 	bool no_receipt = false;
+	std::string receipt; // "": the server's id
 	std::string wrong_id; // the answer names another request
 	std::string body = "ok"; // of a plain answer
 	bool before = false; // an answer to another request comes first
@@ -47,6 +48,8 @@
 	int skip = -1; // an event that is left out
 	uint64_t version = 1;
 	int new_version_at = -1; // event from which on it is version + 1
+	int spoiled_at = -1; // event whose data begins with `spoiled`
+	std::string spoiled;
 };
 
 // A stream of so many events; an answer with this status.
--- a/t/test-platform-codec.cc
+++ b/t/test-platform-codec.cc
@@ -797,6 +797,49 @@
 	strbuf_finish(&out);
 }
 
+// A stored text or score that is not UTF-8 made the whole answer fail.
+TEST(PlatformBatch, ResultsThatAreNotUtf8BecomeDeadLetters)
+{
+	const struct {
+		const char *name, *text, *score, *expected;
+		int unreadable;
+	} cases[] = {
+		{ "sound", "ab", "s",
+		  "\"complete\",\"text\":\"ab\",\"versions\":[],"
+		  "\"score\":\"s\"}",
+		  0 },
+		{ "text", "a\xff", "s",
+		  "\"dead_letter\",\"text\":\"\",\"versions\":[]}", 1 },
+		{ "score", "ab", "\xfe",
+		  "\"dead_letter\",\"text\":\"\",\"versions\":[]}", 1 },
+	};
+
+	for (const auto &c : cases) {
+		struct batch_result_view views[2] = {};
+		struct strbuf out;
+
+		SCOPED_TRACE(c.name);
+		strbuf_init(&out);
+		views[0].id = "a";
+		views[0].is_complete = views[1].is_complete = 1;
+		views[0].text = c.text;
+		views[0].text_len = strlen(c.text);
+		views[0].score = c.score;
+		views[1].id = "b";
+		views[1].text = "sound";
+		views[1].text_len = 5;
+		EXPECT_EQ(c.unreadable,
+			  platform_batch_write_results(&out, 2, 0, views, 2));
+		EXPECT_EQ("{\"total\":2,\"next_token\":2,\"results\":["
+			  "{\"id\":\"a\",\"state\":" +
+				  std::string(c.expected) +
+				  ",{\"id\":\"b\",\"state\":\"complete\","
+				  "\"text\":\"sound\",\"versions\":[]}]}",
+			  out.buf);
+		strbuf_finish(&out);
+	}
+}
+
 // The size computed in advance equals the number of bytes written.
 TEST(PlatformBatch, TextsTakeTheBytesThatWereCounted)
 {
--- a/t/test-rewards.cc
+++ b/t/test-rewards.cc
@@ -178,6 +178,8 @@
 		{ "cut", with([](ServerReply *r) { r->cut = true; }), 2, 3 },
 		{ "no receipt",
 		  with([](ServerReply *r) { r->no_receipt = true; }), 2, 3 },
+		{ "a receipt that is not UTF-8",
+		  with([](ServerReply *r) { r->receipt = "\xff\xfe"; }), 2, 3 },
 		{ "another request's answer first",
 		  with([](ServerReply *r) { r->wrong_id = "other"; }), 2, 3 },
 		{ "silent", with([](ServerReply *r) { r->hang = true; }), 1,
