batch: choose the partition by the submission alone

Cause: a repeat is recognised within one partition of the log. Without a model the partition was chosen by the prefix of the route that the present configuration finds, so the longer prefix led to another one, where the batch is not known.

Evidence: the line "batch accepted" now names the partition.

Choose it by the model of the batch, or the model of its first item, or the batch's id. A repeat has the same three, so it meets the first acceptance in the log whatever configuration its daemon has read.

--- a/batch/batch_partition.c
+++ b/batch/batch_partition.c
@@ -169,9 +169,9 @@
 
 struct batch_partition *batch_set_choose_partition(struct batch_set *set,
 						   const char *model,
-						   const char *path)
+						   const char *id)
 {
-	const char *key = *model ? model : path;
+	const char *key = *model ? model : id;
 
 	return &set->partitions[hash_text(key, 0) % set->count];
 }
--- a/batch/batch_partition.h
+++ b/batch/batch_partition.h
@@ -76,10 +76,15 @@
 		    struct counter_set *counters);
 void batch_set_finish(struct batch_set *set);
 
-/* The partition for batches of a model; of a path if `model` is "". */
+/*
+ * The partition for batches of a model; for the batch of this id if `model` is
+ * "". A repeated submission is recognised within its partition only, so the
+ * choice may depend on nothing but the submission: not on the configuration,
+ * which differs between daemons and over time.
+ */
 struct batch_partition *batch_set_choose_partition(struct batch_set *set,
 						   const char *model,
-						   const char *path);
+						   const char *id);
 
 /* See batch_table_evict(). */
 void batch_set_evict(struct batch_set *set, int64_t ended_before_ms,
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -47,17 +47,14 @@
 	free(submission);
 }
 
-static void log_submission(struct batch_api *api, const char *event,
-			   const char *batch, const char *reason,
-			   uint32_t items, int64_t took_ns)
+static void log_malformed(struct batch_api *api, const char *batch,
+			  const char *reason)
 {
 	struct record record;
 
-	record_begin(&record, api->log, "batch", event);
+	record_begin(&record, api->log, "batch", "malformed");
 	record_text(&record, "id", batch);
 	record_text(&record, "reason", reason);
-	record_int(&record, "items", items);
-	record_ms(&record, "took_ms", took_ns);
 	record_end(&record);
 }
 
@@ -85,13 +82,21 @@
 }
 
 static void answer_accepted(struct batch_api *api, struct net_request *request,
-			    const char *batch, uint32_t items,
-			    const char *reason)
+			    const char *batch,
+			    const struct batch_partition *partition,
+			    uint32_t items, const char *reason)
 {
 	int64_t took_ns = elapsed_ns(api, request);
+	struct record record;
 
 	histogram_add(&api->accept_duration, took_ns);
-	log_submission(api, "accepted", batch, reason, items, took_ns);
+	record_begin(&record, api->log, "batch", "accepted");
+	record_text(&record, "id", batch);
+	record_text(&record, "reason", reason);
+	record_int(&record, "partition", partition->number);
+	record_int(&record, "items", items);
+	record_ms(&record, "took_ms", took_ns);
+	record_end(&record);
 	answer_json_text(request, 202, "{}", 2);
 }
 
@@ -166,6 +171,7 @@
 		refuse_other_team_id(api, request, submission->batch);
 	else if (request)
 		answer_accepted(api, request, submission->batch,
+				submission->partition,
 				submission->draft.item_count, "stored");
 	free_submission(submission);
 }
@@ -262,7 +268,7 @@
 		.retry_after_ns = -1,
 	};
 
-	log_submission(api, "malformed", batch, err->text, 0, 0);
+	log_malformed(api, batch, err->text);
 	refuse(api, request, batch, &refusal);
 	return -1;
 }
@@ -332,6 +338,12 @@
 	acceptance->by_incarnation = submission->api->incarnation;
 }
 
+/* The model of the batch, or else of its first item; "": neither has one. */
+static const char *draft_model(const struct batch_draft *draft)
+{
+	return *draft->model ? draft->model : draft->items[0].model;
+}
+
 /* Takes ownership of the contents of `draft`. */
 static struct batch_submission *
 new_submission(struct batch_api *api, struct net_request *request,
@@ -345,7 +357,7 @@
 	submission->api = api;
 	submission->request = request;
 	submission->partition = batch_set_choose_partition(
-		api->set, draft->model, route->path_prefix);
+		api->set, draft_model(draft), caller->id);
 	submission->draft = *draft;
 	submission->batch = xstrdup(caller->id);
 	submission->team = xstrdup(team ? team->name : "");
@@ -397,7 +409,8 @@
 		return 1;
 	}
 	counter_add(api->repeated, 1);
-	answer_accepted(api, request, batch, known->item_count, "repeated");
+	answer_accepted(api, request, batch, partition, known->item_count,
+			"repeated");
 	return 1;
 }
 
--- a/t/lib-batch-host.cc
+++ b/t/lib-batch-host.cc
@@ -43,7 +43,7 @@
 
 		out += std::string(i ? "," : "") + "{\"id\":\"" + item(i) +
 		       "\",\"path\":\"" + path + "x\",\"headers\":{" +
-		       "\"X-Model\":\"" + model +
+		       "\"X-Model\":\"" + item_model +
 		       "\",\"X-Token-Count\":\"10,400\"," +
 		       (length_hint
 				? "\"X-Length-Hint\":\"" +
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -33,7 +33,8 @@
 // A submission in the form that trainers send.
 struct Submission {
 	std::string id = "batch1";
-	std::string model = "m";
+	std::string model = "m"; // of the batch; "": none
+	std::string item_model = "m"; // of each item; "": none
 	std::string key = "k1";
 	uint64_t step = 0;
 	uint64_t min_version = 1;
--- a/t/test-batch-runner.cc
+++ b/t/test-batch-runner.cc
@@ -797,6 +797,72 @@
 namespace
 {
 
+struct RepeatCase {
+	const char *name;
+	const char *model; // of the batch
+	const char *item_model;
+};
+
+// Ends the object of the route under /b/ and begins another one.
+const char longer_route[] =
+	R"(},{"name":"longer","host":"h","path_prefix":"/b/more/",
+  "type":"rollout","timeout_ms":900,"goal_ms":300,"max_attempts":2,
+  "due_ms":2000,"retention_s":30,"sticky":true,"resumable":true,
+  "service":"s")";
+
+class RepeatedBatches : public Batches,
+			public ::testing::WithParamInterface<RepeatCase>
+{
+};
+
+const RepeatCase repeat_cases[] = {
+	{ "ModelOfTheBatch", "m", "m" },
+	{ "ModelsOfTheItemsAlone", "", "m" },
+	{ "NoModel", "", "" },
+};
+
+std::string repeat_name(const ::testing::TestParamInfo<RepeatCase> &info)
+{
+	return info.param.name;
+}
+
+} // namespace
+
+// A configuration that added a route with a longer prefix sent the repeat of a
+// submission without a model to another partition, where it was a new batch.
+TEST_P(RepeatedBatches, AreAcceptedOnceThoughTheirRouteChanges)
+{
+	// One of the last two does not own the partition, so it has not read
+	// the batch before.
+	BatchHost *hosts[] = { add_host("a"), add_host("b"), add_host("c") };
+	Submission submission;
+	ReadAnswer before;
+
+	submission.model = GetParam().model;
+	submission.item_model = GetParam().item_model;
+	submission.path = "/b/more/";
+	add_engine("only", stream_reply(4));
+	ASSERT_EQ(202, hosts[0]->submit(submission));
+	ASSERT_TRUE(hosts[0]->read_all(submission, &before));
+	for (BatchHost *host : hosts)
+		host->configure(2, longer_route);
+	for (BatchHost *other : { hosts[1], hosts[2] }) {
+		ReadAnswer after;
+
+		ASSERT_EQ(202, other->submit(submission));
+		ASSERT_TRUE(other->read_all(submission, &after));
+		for (size_t i = 0; i < before.results.size(); i++)
+			EXPECT_EQ(before.results[i].id, after.results[i].id);
+	}
+	EXPECT_EQ((size_t)submission.items(), engines_[0]->seen.size());
+}
+
+INSTANTIATE_TEST_SUITE_P(Models, RepeatedBatches,
+			 ::testing::ValuesIn(repeat_cases), repeat_name);
+
+namespace
+{
+
 struct StoreCase {
 	const char *name;
 	Fault fault; // of the first appends
