--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -440,14 +440,34 @@
 	schedule_plan(duty);
 }
 
+static void log_need(struct version_duty *duty, const struct weight_need *need,
+		     const char *outcome)
+{
+	struct record record;
+
+	record_begin(&record, duty->log, "weights", "need");
+	record_text(&record, "model", need->model);
+	record_text(&record, "service", need->service);
+	record_int(&record, "min_version", (int64_t)need->min_version);
+	record_int(&record, "named_version", (int64_t)need->named_version);
+	record_int(&record, "tokens", (int64_t)need->tokens);
+	record_int(&record, "items", need->items);
+	record_text(&record, "outcome", outcome);
+	record_end(&record);
+}
+
 static void on_need(struct weight_board_listener *listener,
 		    const struct weight_need *need)
 {
 	struct version_duty *duty =
 		container_of(listener, struct version_duty, board_listener);
 
-	if (need_table_put(&duty->needs, need, now_ns(duty)))
+	if (need_table_put(&duty->needs, need, now_ns(duty))) {
+		log_need(duty, need, "table_full");
 		return;
+	}
+	if (duty->active)
+		log_need(duty, need, "in_force");
 	schedule_plan(duty);
 }
 
