batch: let all open batches of a model decide what weights it needs

Four of twelve engines got the order to load the weights that the step needs, and 32 of its 160 items never began.

Cause: the need of a model was that of the batch loaded last. The next daemon loads both batches again, and in whichever order it read them, the last one replaced the other's need. The same happens without a stop if the submission that allows older weights is the later one.

Evidence: the holder of the duties logs the need of the step (min_version=3, 160 items) and in the same millisecond that of the older submission (min_version=1, 4 items); no order follows.

Publish what all open batches of the model need together: the highest min_version, with the version that was named when that batch was loaded, the most tokens and items, and single_version if one of them wants it. All batches of a model run at one host, so that host knows them all. A version that is new enough for the newest step is so for the others. With one open batch the need is what it was.

--- a/batch/active_item.h
+++ b/batch/active_item.h
@@ -75,6 +75,7 @@
 	uint32_t group_count;
 	uint32_t waiting; /* number of items in this state */
 	uint32_t scoring; /* number of items in this state */
+	uint64_t named_version; /* of its model, when the batch was loaded */
 	struct active_batch *next;
 };
 
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -28,11 +28,35 @@
 	struct owned_partition *next;
 };
 
-/* Is notified of the tokens that a batch is expected to need. */
+/*
+ * What the open batches of a model need together. All of them run at one host,
+ * since they share a partition.
+ */
+struct batch_demand {
+	const char *model;
+	const char *service;
+	/* Of the batch that needs the newest weights: */
+	uint64_t min_version;
+	uint64_t named_version; /* newest one named when it was loaded */
+	/* Of the largest batch: */
+	uint64_t tokens; /* expected */
+	uint32_t items;
+	int single_version; /* one of them must not mix versions */
+};
+
+struct batch_demand_listener;
+
+struct batch_demand_listener_vtable {
+	/* The newest version that the model's trainer has named. */
+	uint64_t (*named_version)(struct batch_demand_listener *listener,
+				  const char *model);
+	/* The demand's texts are valid during the call. */
+	void (*changed)(struct batch_demand_listener *listener,
+			const struct batch_demand *demand);
+};
+
 struct batch_demand_listener {
-	void (*accepted)(struct batch_demand_listener *listener,
-			 const struct batch *batch, const char *service,
-			 uint64_t tokens);
+	const struct batch_demand_listener_vtable *vt;
 };
 
 struct batch_runner {
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -64,6 +64,10 @@
  */
 int runner_load_progress(struct active_batch *batch);
 
+/* Tells the listener what the open batches of this batch's model need. */
+void runner_publish_demand(struct batch_runner *runner,
+			   const struct active_batch *batch);
+
 /* Called when the batch's items and texts are read: its items may run. */
 void runner_start_batch(struct active_batch *batch);
 
--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -3,7 +3,6 @@
 
 #include "base/alloc.h"
 #include "batch/batch_runner_private.h"
-#include "policy/item_order.h"
 
 /* Delay before the items of a batch are read again after a failure. */
 #define LOAD_RETRY_NS (200 * NS_PER_MS)
@@ -111,31 +110,6 @@
 	}
 }
 
-static uint64_t expected_tokens(const struct active_batch *batch)
-{
-	double tokens = 0;
-
-	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
-		const Currant__Topic__BatchItem *spec = batch->items[i].spec;
-
-		tokens += item_expected_tokens(spec->length_hint,
-					       spec->max_output_tokens, 0);
-	}
-	return (uint64_t)tokens;
-}
-
-static void notify_demand(struct batch_runner *runner,
-			  const struct active_batch *batch)
-{
-	const struct entry_route *route =
-		runner_route(runner, &batch->items[0]);
-
-	if (runner->demand_listener && route && route->target_count)
-		runner->demand_listener->accepted(
-			runner->demand_listener, batch->batch,
-			route->targets[0].service, expected_tokens(batch));
-}
-
 static void report_load(struct batch_runner *runner,
 			const struct active_batch *batch, int ok)
 {
@@ -175,10 +149,14 @@
 void runner_start_batch(struct active_batch *batch)
 {
 	struct batch_runner *runner = batch->owned->runner;
+	struct batch_demand_listener *listener = runner->demand_listener;
 
 	batch->is_loaded = 1;
 	make_groups(batch);
-	notify_demand(runner, batch);
+	if (listener)
+		batch->named_version = listener->vt->named_version(
+			listener, batch->batch->model);
+	runner_publish_demand(runner, batch);
 	start_items(runner, batch);
 	batch_runner_wake(runner);
 }
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -173,29 +173,38 @@
 	return container_of(listener, struct entry_daemon, need_listener);
 }
 
-/* Publishes what the batch needs to the daemon that holds the duty. */
+static uint64_t on_named_version(struct batch_demand_listener *listener,
+				 const char *model)
+{
+	return named_versions_get(&daemon_of_need_listener(listener)->named,
+				  model);
+}
+
+/* Publishes the need to the daemon that holds the duty. */
 static void on_need(struct batch_demand_listener *listener,
-		    const struct batch *batch, const char *service,
-		    uint64_t tokens)
+		    const struct batch_demand *demand)
 {
 	struct entry_daemon *daemon = daemon_of_need_listener(listener);
 	struct weight_need need = {
-		.min_version = batch->min_version,
-		.named_version =
-			named_versions_get(&daemon->named, batch->model),
-		.tokens = tokens,
-		.items = batch->item_count,
-		.single_version = batch->single_version,
+		.min_version = demand->min_version,
+		.named_version = demand->named_version,
+		.tokens = demand->tokens,
+		.items = demand->items,
+		.single_version = demand->single_version,
 	};
 
-	if (!batch->model[0] ||
-	    copy_text(need.model, sizeof(need.model), batch->model) ||
-	    copy_text(need.service, sizeof(need.service), service))
+	if (copy_text(need.model, sizeof(need.model), demand->model) ||
+	    copy_text(need.service, sizeof(need.service), demand->service))
 		return;
 	weight_board_publish_need(&daemon->weight_board, &need,
 				  daemon->settings.name);
 }
 
+static const struct batch_demand_listener_vtable need_listener_vtable = {
+	.named_version = on_named_version,
+	.changed = on_need,
+};
+
 static void init_duties(struct entry_daemon *daemon)
 {
 	const struct entry_settings *settings = &daemon->settings;
@@ -225,7 +234,7 @@
 	daemon->load_listener.load = on_load;
 	weight_board_add_listener(&daemon->weight_board,
 				  &daemon->load_listener);
-	daemon->need_listener.accepted = on_need;
+	daemon->need_listener.vt = &need_listener_vtable;
 	daemon->batch_runner.demand_listener = &daemon->need_listener;
 	version_duty_init(&daemon->version_duty, timers, &daemon->duty_lease,
 			  &daemon->weight_board, &daemon->duty_calls.base,
