duty: plan the weights of each service apart

Cause: the table of needs had one entry a model, and the topic one key a model, so a need at a second service replaced the first. Engines of the other service then got no order.

With one service the plan is what it was. Older daemons read the new records, as they go by the value and not by the key.

Services/DutiesAtServices.LoadWhatIsNeededThere: its three cases failed before and pass now.

--- a/duty/need_table.c
+++ b/duty/need_table.c
@@ -16,24 +16,29 @@
 	free(table->models);
 }
 
-int32_t need_table_index(const struct need_table *table, const char *model)
+static struct model_need *find(struct need_table *table,
+			       const struct weight_need *need)
 {
-	for (uint32_t i = 0; i < table->count; i++)
-		if (!strcmp(table->models[i].need.model, model))
-			return (int32_t)i;
-	return -1;
+	for (uint32_t i = 0; i < table->count; i++) {
+		struct model_need *known = &table->models[i];
+
+		if (!strcmp(known->need.model, need->model) &&
+		    !strcmp(known->need.service, need->service))
+			return known;
+	}
+	return NULL;
 }
 
 int need_table_put(struct need_table *table, const struct weight_need *need,
 		   int64_t now_ns)
 {
-	int32_t index = need_table_index(table, need->model);
+	struct model_need *entry = find(table, need);
 
-	if (index < 0 && table->count == PLAN_MODELS_MAX)
+	if (!entry && table->count == PLAN_MODELS_MAX)
 		return -1;
-	if (index < 0)
-		index = (int32_t)table->count++;
-	table->models[index].need = *need;
-	table->models[index].received_ns = now_ns;
+	if (!entry)
+		entry = &table->models[table->count++];
+	entry->need = *need;
+	entry->received_ns = now_ns;
 	return 0;
 }
--- a/duty/need_table.h
+++ b/duty/need_table.h
@@ -5,25 +5,23 @@
 #include "duty/weight_board.h"
 #include "policy/version_plan.h"
 
-/* The newest reported weight need of a model's batches. */
+/* The newest reported weight need of a model's batches at one service. */
 struct model_need {
 	struct weight_need need;
 	int64_t received_ns;
 };
 
 struct need_table {
-	struct model_need *models; /* room for PLAN_MODELS_MAX; one per model */
+	/* Room for PLAN_MODELS_MAX; one of each model and service. */
+	struct model_need *models;
 	uint32_t count;
 };
 
 void need_table_init(struct need_table *table);
 void need_table_finish(struct need_table *table);
 
-/* Adds or replaces; returns -1 if the model is new and the table is full. */
+/* Adds or replaces; returns -1 if the need is new and the table is full. */
 int need_table_put(struct need_table *table, const struct weight_need *need,
 		   int64_t now_ns);
 
-/* Index of the model; -1 if it is not in the table. */
-int32_t need_table_index(const struct need_table *table, const char *model);
-
 #endif
--- a/duty/version_duty.h
+++ b/duty/version_duty.h
@@ -34,6 +34,7 @@
 	struct need_table needs;
 	struct timer plan_timer;
 	int plan_pending;
+	uint32_t plan_turn; /* rotates the services */
 	int active; /* holds the lease and was not fenced */
 	uint64_t fence;
 	double mean_load_ns; /* moving average of load times */
--- a/duty/weight_board.c
+++ b/duty/weight_board.c
@@ -161,7 +161,7 @@
 			 const char *name, const ProtobufCMessage *message)
 {
 	struct topic_write *write = topic_write_new(on_written, NULL);
-	char key[2 * WEIGHT_NAME_BYTES];
+	char key[sizeof(NEED_KEY) + 2 * WEIGHT_NAME_BYTES];
 
 	snprintf(key, sizeof(key), "%s%s", prefix, name);
 	topic_add_keyed_message(&write->records, key, message);
@@ -173,6 +173,7 @@
 			       const struct weight_need *need, const char *host)
 {
 	Currant__Topic__WeightNeed message = CURRANT__TOPIC__WEIGHT_NEED__INIT;
+	char name[2 * WEIGHT_NAME_BYTES];
 
 	message.model = (char *)need->model;
 	message.service = (char *)need->service;
@@ -182,7 +183,8 @@
 	message.items = need->items;
 	message.single_version = need->single_version;
 	message.host = (char *)host;
-	append_entry(board, NEED_KEY, need->model, &message.base);
+	snprintf(name, sizeof(name), "%s/%s", need->model, need->service);
+	append_entry(board, NEED_KEY, name, &message.base);
 }
 
 void weight_board_publish_load(struct weight_board *board,
--- a/t/lib-duty-host.cc
+++ b/t/lib-duty-host.cc
@@ -332,7 +332,7 @@
 
 	server_entry_init(&entry);
 	copy_text(entry.id, sizeof(entry.id), id.c_str());
-	copy_text(entry.service, sizeof(entry.service), "s");
+	copy_text(entry.service, sizeof(entry.service), service.c_str());
 	copy_text(entry.address, sizeof(entry.address), "10.0.0.1:1");
 	copy_text(entry.data_centre, sizeof(entry.data_centre),
 		  data_centre.c_str());
@@ -359,7 +359,7 @@
 	struct weight_need need = {};
 
 	copy_text(need.model, sizeof(need.model), model.c_str());
-	copy_text(need.service, sizeof(need.service), "s");
+	copy_text(need.service, sizeof(need.service), service.c_str());
 	need.min_version = min_version;
 	need.named_version = named_versions_get(&named_, model.c_str());
 	need.tokens = 100 * items;
--- a/t/lib-duty-host.h
+++ b/t/lib-duty-host.h
@@ -97,6 +97,8 @@
 
 	void set_eligible(bool eligible);
 	bool holds();
+	// Of the engines that are added and the needs that are published.
+	std::string service = "s";
 	// Adds an engine to this host's fleet.
 	void add_engine(const std::string &id, uint64_t version,
 			const std::string &data_centre = "dc",
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -420,6 +420,78 @@
 	EXPECT_GT(topics_.partition("keyed.weights", 0).records.size(), 5u);
 }
 
+namespace
+{
+
+struct NeedAt {
+	const char *model, *service;
+	uint32_t items;
+	int engines; // at least, of four at each service
+};
+
+struct ServiceCase {
+	const char *name;
+	std::vector<NeedAt> needs;
+};
+
+const ServiceCase service_cases[] = {
+	{ "OneModelAtBoth", { { "m", "s", 100, 4 }, { "m", "t", 100, 4 } } },
+	{ "ALargeAndASmallModel",
+	  { { "m", "s", 1000, 4 }, { "n", "t", 1, 4 } } },
+	{ "TwoModelsAtOne",
+	  { { "m", "s", 100, 2 }, { "n", "s", 100, 2 }, { "n", "t", 1, 4 } } },
+};
+
+class DutiesAtServices : public Duties,
+			 public ::testing::WithParamInterface<ServiceCase>
+{
+};
+
+std::string service_name(const ::testing::TestParamInfo<ServiceCase> &info)
+{
+	return info.param.name;
+}
+
+} // namespace
+
+// A model had one need, that of the service named last: the engines of the
+// other service of a split or moved route never got the order to load. And
+// models shared the engines of all services, so that a small one got engines of
+// a service that it doesn't use, and none of its own.
+TEST_P(DutiesAtServices, LoadWhatIsNeededThere)
+{
+	DutyHost *host = add("a");
+	std::map<std::string, int> loaded; // by model and service
+
+	for (int i = 0; i < 8; i++) {
+		std::string id = "e" + std::to_string(i);
+
+		platform_.engines[id].versions = { { "m", 1 }, { "n", 1 } };
+		host->service = i % 2 ? "t" : "s";
+		host->add_engine(id, 1);
+	}
+	ASSERT_GE(wait_holder(), 0);
+	host->name_version("m", 2);
+	host->name_version("n", 2);
+	for (const NeedAt &need : GetParam().needs) {
+		host->service = need.service;
+		host->publish_need(need.model, 2, need.items);
+	}
+	time_.run(8000);
+	for (int i = 0; i < 8; i++)
+		for (auto &version :
+		     platform_.engines["e" + std::to_string(i)].versions)
+			if (version.second == 2)
+				loaded[version.first + (i % 2 ? "t" : "s")]++;
+	for (const NeedAt &need : GetParam().needs)
+		EXPECT_LE(need.engines,
+			  loaded[std::string(need.model) + need.service])
+			<< need.model << " at " << need.service;
+}
+
+INSTANTIATE_TEST_SUITE_P(Services, DutiesAtServices,
+			 ::testing::ValuesIn(service_cases), service_name);
+
 // Another writer appends malformed entries to the topics: they are counted and
 // have no other effect.
 TEST_F(Duties, GoOnWhateverElseIsWritten)
