batch: tell the needs of all services that a route leads to

A batch told the need of the first service of its first item's route, once, when it was loaded. Engines of a second service, or of the new one after a move, got no order before the next step, if at all.

Tell each service that runs items of the model's batches, with its part of them by the weights of the route, and look again at open batches when a new configuration is in force: if it leads to other services, tell again. A configuration that doesn't concern the routes costs no write.

Routes/MovedBatchDemand.IsToldToAllServicesOfTheRoute: Moved, Split and SplitFromTheStart failed before and pass now; Unchanged passes before and after.

--- a/batch/active_item.h
+++ b/batch/active_item.h
@@ -76,6 +76,7 @@
 	uint32_t waiting; /* number of items in this state */
 	uint32_t scoring; /* number of items in this state */
 	uint64_t named_version; /* of its model, when the batch was loaded */
+	uint64_t demand_services; /* hash of the services in that demand */
 	struct active_batch *next;
 };
 
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -29,8 +29,8 @@
 };
 
 /*
- * What the open batches of a model need together. All of them run at one host,
- * since they share a partition.
+ * What the open batches of a model need together of one service. All of them
+ * run at one host, since they share a partition.
  */
 struct batch_demand {
 	const char *model;
@@ -38,7 +38,7 @@
 	/* Of the batch that needs the newest weights: */
 	uint64_t min_version;
 	uint64_t named_version; /* newest one named when it was loaded */
-	/* Of the largest batch: */
+	/* Of the batch with the most at this service: */
 	uint64_t tokens; /* expected */
 	uint32_t items;
 	int single_version; /* one of them must not mix versions */
@@ -74,6 +74,7 @@
 	struct owned_partition *owned;
 	struct engine_state *engines;
 	struct batch_demand_listener *demand_listener; /* may be NULL */
+	uint64_t demand_config_version; /* last one compared with demands */
 	struct item_text_cache text_cache;
 	struct timer schedule_timer; /* places items once per event-loop turn */
 	int schedule_pending;
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -64,9 +64,15 @@
  */
 int runner_load_progress(struct active_batch *batch);
 
-/* Tells the listener what the open batches of this batch's model need. */
+/*
+ * Tells the listener what the loaded batches of the model need of each service
+ * that runs items of theirs.
+ */
 void runner_publish_demand(struct batch_runner *runner,
-			   const struct active_batch *batch);
+			   struct owned_partition *owned, const char *model);
+
+/* Tells it again of batches that a new configuration sends elsewhere. */
+void runner_renew_demand(struct batch_runner *runner);
 
 /* Called when the batch's items and texts are read: its items may run. */
 void runner_start_batch(struct active_batch *batch);
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -100,6 +100,7 @@
 			check_batch(runner, b);
 			runner_watch_rewards(runner, b);
 		}
+	runner_renew_demand(runner);
 	drop_engines(runner);
 	batch_runner_wake(runner);
 }
--- a/t/test-batch-demand.cc
+++ b/t/test-batch-demand.cc
@@ -2,6 +2,7 @@
 // that runs them tells the holder of the duties.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -114,3 +115,80 @@
 	EXPECT_EQ(1u, demands_.back()->seen.back().min_version);
 	EXPECT_EQ(4u, demands_.back()->seen.back().items);
 }
+
+namespace
+{
+
+struct RouteCase {
+	const char *name;
+	const char *before; // added to the route's object, as JSON
+	const char *after;
+	std::vector<std::string> services; // to be told after the change
+	uint32_t items; // of 20, at each of them
+};
+
+const char split_route[] = R"(,"split":[{"service":"s","weight":1},
+  {"service":"r","weight":1}])";
+
+const RouteCase route_cases[] = {
+	{ "Moved", "", R"(,"service":"r")", { "r" }, 20 },
+	{ "Split", "", split_route, { "r", "s" }, 10 },
+	{ "SplitFromTheStart", split_route, split_route, {}, 0 },
+	{ "Unchanged", "", R"(,"goal_ms":200)", {}, 0 },
+};
+
+class MovedBatchDemand : public BatchDemand,
+			 public ::testing::WithParamInterface<RouteCase>
+{
+      protected:
+	std::vector<std::string> services_from(size_t at)
+	{
+		const auto &seen = demands_.back()->seen;
+		std::vector<std::string> out;
+
+		for (; at < seen.size(); at++)
+			out.push_back(seen[at].service);
+		std::sort(out.begin(), out.end());
+		return out;
+	}
+};
+
+std::string route_name(const ::testing::TestParamInfo<RouteCase> &info)
+{
+	return info.param.name;
+}
+
+} // namespace
+
+// A batch told the need of its route's first service, once. After a move of the
+// route, the engines of the new service got no order to load until the next
+// step, and those of a second service never did.
+TEST_P(MovedBatchDemand, IsToldToAllServicesOfTheRoute)
+{
+	const RouteCase &c = GetParam();
+	BatchHost *host = add_host("a");
+	bool is_split = std::string(c.before) == split_route;
+	std::vector<std::string> told = { "s" };
+	size_t before;
+
+	host->configure(2, c.before);
+	ASSERT_EQ(202, host->submit(step_of(3, 10)));
+	wait_for(is_split ? 2 : 1);
+	if (is_split)
+		told = { "r", "s" };
+	EXPECT_EQ(told, services_from(0));
+	before = demands_.back()->seen.size();
+	host->configure(3, c.after);
+	if (!c.services.empty())
+		wait_for(before + c.services.size());
+	/* Batches are looked at ten times a second. */
+	loop_.run_for(300);
+	EXPECT_EQ(c.services, services_from(before));
+	for (size_t i = before; i < demands_.back()->seen.size(); i++) {
+		EXPECT_EQ(3u, demands_.back()->seen[i].min_version);
+		EXPECT_EQ(c.items, demands_.back()->seen[i].items);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes, MovedBatchDemand,
+			 ::testing::ValuesIn(route_cases), route_name);
