batch: tell what an open batch needs again every 10 s

Cause: a need was told once, when its batch was loaded, and the holder of the duties takes a model for inactive 30 s after its last need, whether or not a batch is open.

Tell it again once it is 10 s old. A step that is over sooner, or that is followed by another one, costs no further write.

BatchDemand.IsToldAgainWhileABatchIsOpen failed before and passes now.

--- a/batch/active_item.h
+++ b/batch/active_item.h
@@ -76,6 +76,7 @@
 	uint32_t waiting; /* number of items in this state */
 	uint32_t scoring; /* number of items in this state */
 	uint64_t named_version; /* of its model, when the batch was loaded */
+	int64_t demand_told_ns; /* when its model's demand was last told */
 	uint64_t demand_services; /* hash of the services in that demand */
 	struct active_batch *next;
 };
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -71,7 +71,10 @@
 void runner_publish_demand(struct batch_runner *runner,
 			   struct owned_partition *owned, const char *model);
 
-/* Tells it again of batches that a new configuration sends elsewhere. */
+/*
+ * Tells it again of batches that stay open, before it forgets them, and of
+ * those that a new configuration sends to other services.
+ */
 void runner_renew_demand(struct batch_runner *runner);
 
 /* Called when the batch's items and texts are read: its items may run. */
--- a/batch/runner_demand.c
+++ b/batch/runner_demand.c
@@ -1,11 +1,14 @@
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/hash.h"
 #include "batch/batch_runner_private.h"
 #include "policy/item_order.h"
 
 /* Services of the routes of one model's open batches; others get no demand. */
 #define DEMAND_SERVICES_MAX 8
+/* A third of the time for which the holder of the duties remembers a need. */
+#define DEMAND_RENEW_NS (10 * NS_PER_S)
 
 /* What batches need at each service that runs items of theirs. */
 struct demand_list {
@@ -121,6 +124,7 @@
 	for (struct active_batch *b = owned->batches; b; b = b->next) {
 		if (!b->is_loaded || strcmp(b->batch->model, model) != 0)
 			continue;
+		b->demand_told_ns = runner_now_ns(runner);
 		b->demand_services = hash_services(list);
 	}
 	for (uint32_t i = 0; i < list->count; i++)
@@ -151,13 +155,17 @@
 void runner_renew_demand(struct batch_runner *runner)
 {
 	const struct entry_config *config = runner->config->current;
+	int64_t now_ns = runner_now_ns(runner);
+	int is_new_config = config &&
+			    config->version != runner->demand_config_version;
 
-	if (!config || config->version == runner->demand_config_version)
-		return;
-	runner->demand_config_version = config->version;
+	if (is_new_config)
+		runner->demand_config_version = config->version;
 	for (struct owned_partition *o = runner->owned; o; o = o->next)
 		for (struct active_batch *b = o->batches; b; b = b->next)
-			if (b->is_loaded && has_other_services(runner, b))
+			if (b->is_loaded &&
+			    (now_ns - b->demand_told_ns >= DEMAND_RENEW_NS ||
+			     (is_new_config && has_other_services(runner, b))))
 				runner_publish_demand(runner, o,
 						      b->batch->model);
 }
--- a/t/test-batch-demand.cc
+++ b/t/test-batch-demand.cc
@@ -192,3 +192,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Routes, MovedBatchDemand,
 			 ::testing::ValuesIn(route_cases), route_name);
+
+// The holder of the duties forgets a need after 30 s, but a step may last
+// longer. When its engine was lost, no other one got the order to load.
+TEST_F(BatchDemand, IsToldAgainWhileABatchIsOpen)
+{
+	BatchHost *host = add_host("a");
+
+	ASSERT_EQ(202, host->submit(step_of(3, 10)));
+	wait_for(1);
+	demands_.back()->named["m"] = 4;
+	ASSERT_TRUE(loop_.run_until(
+		[&] { return demands_.back()->seen.size() >= 2; }, 15000));
+	EXPECT_EQ(3u, demands_.back()->seen.back().min_version);
+	EXPECT_EQ(3u, demands_.back()->seen.back().named_version);
+	EXPECT_EQ(20u, demands_.back()->seen.back().items);
+}
