forward: forward the body of a failure as it is on stream routes

Cause: whether a response is split into events was decided by the route. A failure on a stream route has a plain body. One of more than 256 KiB is forwarded as it comes, and what is no event, or an event over the limit, was taken for a broken invariant. Evidence: "BUG: a buffered body cannot be an event stream" is the last line of the ended daemons, and whole bodies of 300,000 bytes end a daemon in the same way.

Decide it for each attempt from its head: events come on a stream route with a status under 300. Other bodies are forwarded unchanged, with their length. An attempt with events begins to forward at its head, so nothing is buffered then, and no bytes from outside lead to the BUG().

A response that was begun with a failure is not continued either: on a resumable route the retry would have followed the body of the first 500.

Bodies/StreamFailure.IsPassedOnUnchangedWhateverItsSize: five of its six cases failed before, three by SIGABRT.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -245,7 +245,7 @@
 				enum attempt_outcome outcome)
 {
 	int can_resume = !forward->response_started ||
-			 forward_is_stream(forward);
+			 forward->response_has_events;
 	struct attempt_state state = {
 		.may_repeat = may_repeat(forward) && can_resume,
 		.may_have_run = forward->may_have_run,
--- a/forward/forward_answer.c
+++ b/forward/forward_answer.c
@@ -60,7 +60,7 @@
 {
 	struct forward *forward = attempt->forward;
 
-	if (forward_is_stream(forward)) {
+	if (attempt->has_events) {
 		if (event_splitter_feed(&attempt->events, data, len, on_event,
 					attempt))
 			return -1;
@@ -88,14 +88,15 @@
 void forward_begin_stream(struct forward_attempt *attempt)
 {
 	struct forward *forward = attempt->forward;
-	int64_t body_bytes =
-		forward_is_stream(forward) ? -1 : attempt->response_body_bytes;
+	int64_t body_bytes = attempt->has_events ? -1
+						 : attempt->response_body_bytes;
 
 	cancel_other_attempts(attempt);
 	if (!forward->response_started)
 		net_request_begin(forward->request, attempt->answer.status,
 				  attempt->response_fields.buf, body_bytes);
 	forward->response_started = 1;
+	forward->response_has_events = attempt->has_events;
 	attempt->streaming = 1;
 	if (attempt->response_body.len &&
 	    forward_stream(attempt, attempt->response_body.buf,
--- a/forward/forward_attempt.c
+++ b/forward/forward_attempt.c
@@ -47,7 +47,9 @@
 		return NET_HEAD_REJECT;
 	platform_write_answer_fields(&attempt->response_fields, net->answer);
 	attempt->response_body_bytes = net_call_body_bytes(net);
-	if (answer->status < 300 && forward_is_stream(attempt->forward))
+	attempt->has_events = answer->status < 300 &&
+			      forward_is_stream(attempt->forward);
+	if (attempt->has_events)
 		forward_begin_stream(attempt);
 	return NET_HEAD_ACCEPT;
 }
--- a/forward/forward_private.h
+++ b/forward/forward_private.h
@@ -23,6 +23,7 @@
 	int64_t started_wall_ms;
 	int paused;
 	int streaming; /* response bytes are forwarded as they arrive */
+	int has_events; /* the response is an event stream, not a failure */
 	int64_t response_body_bytes; /* by its head; -1: unknown */
 	struct forward_attempt *next;
 };
@@ -46,6 +47,7 @@
 	int stale_retries;
 	int may_have_run; /* a server may have run the request */
 	int response_started; /* its head was sent */
+	int response_has_events; /* another attempt may continue it */
 	int64_t last_event_id; /* sent to the caller; -1: none */
 	char tried[FORWARD_TRIED_MAX][SERVER_ID_BYTES];
 	uint32_t tried_count;
@@ -85,7 +87,10 @@
  */
 void forward_begin_stream(struct forward_attempt *attempt);
 
-/* Forwards received bytes; -1 if an event is malformed or too large. */
+/*
+ * Forwards received bytes; -1 if an event is malformed or too large. The body
+ * of a failure has no events and is forwarded as it is.
+ */
 int forward_stream(struct forward_attempt *attempt, const char *data,
 		   size_t len);
 
--- a/t/test-forward.cc
+++ b/t/test-forward.cc
@@ -444,6 +444,97 @@
 	EXPECT_EQ(large.body, answer.substr(answer.find("\r\n\r\n") + 4));
 }
 
+namespace
+{
+
+std::string repeated(const std::string &unit, size_t bytes)
+{
+	std::string out;
+
+	while (out.size() < bytes)
+		out += unit;
+	return out;
+}
+
+struct BodyCase {
+	const char *name;
+	int status;
+	std::string unit; // of the body
+	size_t bytes;
+};
+
+const BodyCase body_cases[] = {
+	{ "Small", 500, "x", 1000 },
+	{ "OfOneLine", 500, "x", 300000 },
+	{ "OfEvents", 500, "id: 1\ndata: x\n\n", 300000 },
+	{ "WithMalformedIds", 500, "id: one\n\n", 300000 },
+	{ "OfTheCaller", 404, "x", 300000 },
+	{ "Redirect", 300, "\n", 300000 },
+};
+
+class StreamFailure : public Forward,
+		      public ::testing::WithParamInterface<BodyCase>
+{
+};
+
+std::string body_name(const ::testing::TestParamInfo<BodyCase> &info)
+{
+	return info.param.name;
+}
+
+} // namespace
+
+// The body of a failure that was too large to buffer was split into events, as
+// the route's answers are streams. What is no event was taken for a broken
+// invariant and ended the daemon with all its requests.
+TEST_P(StreamFailure, IsPassedOnUnchangedWhateverItsSize)
+{
+	for (const char *path : { "/s/x", "/r/x" }) {
+		SCOPED_TRACE(path);
+		ServerReply failure;
+		std::string answer;
+
+		remove_servers();
+		configure();
+		failure.status = GetParam().status;
+		failure.body = repeated(GetParam().unit, GetParam().bytes);
+		add("a", failure);
+		answer = ask(request(path));
+		EXPECT_EQ(GetParam().status, status(answer));
+		EXPECT_TRUE(http_is_whole(answer));
+		/* EXPECT_EQ() would compare the bodies line by line. */
+		EXPECT_TRUE(failure.body ==
+			    answer.substr(answer.find("\r\n\r\n") + 4));
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Bodies, StreamFailure, ::testing::ValuesIn(body_cases),
+			 body_name);
+
+// Another server continues a stream, but never the body of a failure.
+TEST_F(Forward, NothingFollowsAFailureThatWasPassedOn)
+{
+	ServerReply failure = status_reply(500);
+	int calls = 0;
+
+	configure();
+	failure.body.assign(300000, 'x');
+	for (const char *id : { "a", "b" })
+		add(id, [&](const ServerSaw &) {
+			return calls++ ? stream_reply(6) : failure;
+		});
+	RawCaller caller(net_server_port(&server_));
+	caller.send(request("/r/x"));
+	EXPECT_TRUE(loop_.run_until(
+		[&] { return http_is_whole(caller.received()); }));
+	loop_.run_for(50);
+	EXPECT_EQ(500, status(caller.received()));
+	EXPECT_EQ(failure.body,
+		  caller.received().substr(caller.received().find("\r\n\r\n") +
+					   4));
+	EXPECT_EQ(1, calls);
+}
+
 // An answer after the route's timeout is not waited for.
 TEST_F(Forward, AnswersWhenTheRoutesTimeIsOver)
 {
