forward: accept requests without an id in the crash watch

Cause: the header is optional, and caller_request.id is NULL then, but crash_watch_note_unanswered() copied it without a check. All other uses of the id take NULL: it is logged, or compared only if it is there. The same happens when the route's time is over.

Take a missing id as an empty one; it is only logged later.

Forward.RemembersUnansweredRequestsWithoutAnId ended by SIGSEGV before (exit status 139) and passes now.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -146,7 +146,7 @@
 
 	lost->request = request;
 	lost->ended_ns = clock_now_ns(watch->clock);
-	copy_text(lost->id, sizeof(lost->id), id);
+	copy_text(lost->id, sizeof(lost->id), id ? id : "");
 	copy_text(lost->server, sizeof(lost->server), server);
 }
 
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -57,7 +57,8 @@
 			    const char *id, const char *server);
 
 /*
- * Records that the request was abandoned while it may have run at the server.
+ * Records that the request was abandoned while it may have run at the server;
+ * `id` is that of the caller's attempt, NULL: none.
  * It becomes a crash if the server is found to have exited soon afterwards.
  */
 void crash_watch_note_unanswered(struct crash_watch *watch, uint64_t request,
--- a/t/test-forward-crashes.cc
+++ b/t/test-forward-crashes.cc
@@ -157,6 +157,40 @@
 	}
 }
 
+// The id of an attempt is optional, but was copied without a check when nobody
+// waited for its answer any more: a missing one ended the daemon.
+TEST_F(Forward, RemembersUnansweredRequestsWithoutAnId)
+{
+	const struct {
+		const char *name;
+		bool leaves; // the caller; else the route's time is over
+	} cases[] = { { "the caller leaves", true },
+		      { "no answer in time", false } };
+
+	configure();
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		Crashes crashes(&loop_, &fleet_, &counters_);
+		std::string id = "a" + std::to_string(c.leaves);
+		FakeServer *server = add(id, hang_reply());
+		RawCaller caller(net_server_port(&server_));
+
+		forwarder_.crashes = &crashes.watch;
+		caller.send("POST /o/x HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+			    "X-Deadline-Ms: 300\r\nContent-Length: 0\r\n\r\n");
+		ASSERT_TRUE(loop_.run_until(
+			[&] { return server->seen.size() == 1; }));
+		if (c.leaves)
+			caller.close();
+		EXPECT_TRUE(loop_.run_until(
+			[&] { return server->abandoned == 1; }));
+		fleet_drop(&fleet_, id.c_str(), 9,
+			   reactor_now_ns(&loop_.reactor));
+		EXPECT_EQ(1 + !c.leaves, counter_value(crashes.watch.crashes));
+		forwarder_.crashes = nullptr;
+	}
+}
+
 // Crashes at other hosts are recorded while the first attempt hangs.
 TEST_F(Forward, StartsNoSecondTryOfARequestThatCrashesServers)
 {
