batch: log a stored text that is dropped

A handed over text that is not UTF-8 was dropped without a line, so that nobody could tell why its item started from the beginning.

Log it as text_dropped with reason=not_utf8, and say in a comment of the demand what its figures are.

--- a/batch/runner_demand.c
+++ b/batch/runner_demand.c
@@ -55,7 +55,10 @@
 	}
 }
 
-/* Makes the demand cover this batch as well, of which it has `items` items. */
+/*
+ * Makes the demand of a service cover this batch as well, which has `items`
+ * items with `tokens` expected tokens there.
+ */
 static void add_batch(struct batch_demand *demand,
 		      const struct active_batch *batch, double items,
 		      double tokens)
--- a/batch/runner_progress.c
+++ b/batch/runner_progress.c
@@ -22,6 +22,19 @@
 	return found;
 }
 
+/* The text of an older daemon, which did not check it. */
+static void log_invalid_text(const struct active_item *item)
+{
+	struct record record;
+
+	record_begin(&record, item->owner->owned->runner->log, "items",
+		     "text_dropped");
+	record_text(&record, "batch", item->owner->batch->id);
+	record_text(&record, "item", active_item_id(item));
+	record_text(&record, "reason", "not_utf8");
+	record_end(&record);
+}
+
 /*
  * Continues from a stored text, whose weight versions the batch allows, if it
  * is longer than the item's own.
@@ -34,10 +47,13 @@
 
 	if (item->state != ACTIVE_ITEM_WAITING ||
 	    progress->last_event <= output->last_event ||
-	    progress->n_versions > ITEM_VERSIONS_MAX ||
-	    !platform_batch_text_is_valid((const char *)text->text.data,
-					  text->text.len))
+	    progress->n_versions > ITEM_VERSIONS_MAX)
+		return;
+	if (!platform_batch_text_is_valid((const char *)text->text.data,
+					  text->text.len)) {
+		log_invalid_text(item);
 		return;
+	}
 	item_text_reset(output);
 	strbuf_add(&output->text, text->text.data, text->text.len);
 	output->last_event = progress->last_event;
