duty: drop needs that nobody has any more

With a need for each service the table fills sooner.

A full table now gives the place of the need that was reported longest ago to a new one, once it is older than 30 s; that one is no longer planned for anyway. If all are active, the new one is refused and logged as too_many_needs. The period moves to need_table.h; that of the orders for servers, which is another one, gets a name of its own.

NeedTable.DropsWhatIsNoLongerNeeded failed before and passes now.

--- a/duty/server_duty.c
+++ b/duty/server_duty.c
@@ -10,7 +10,7 @@
 /* Delay before an order that the platform did not accept is sent again. */
 #define RETRY_NS (1 * NS_PER_S)
 /* A need that is not reported again counts as zero after this time. */
-#define NEED_RETENTION_NS (15 * NS_PER_S)
+#define RUN_DEMAND_RETENTION_NS (15 * NS_PER_S)
 /*
  * Planned attempts per engine as a share of its slots. At a higher share,
  * decoding steps take so long that the last items of a batch finish late.
@@ -204,7 +204,7 @@
 		const struct model_need *model = &duty->needs.models[i];
 
 		if (!strcmp(model->need.service, service) &&
-		    now - model->received_ns < NEED_RETENTION_NS)
+		    now - model->received_ns < RUN_DEMAND_RETENTION_NS)
 			items += model->need.items;
 	}
 	return items;
--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -316,7 +316,7 @@
 		container_of(listener, struct version_duty, board_listener);
 
 	if (need_table_put(&duty->needs, need, now_ns(duty))) {
-		log_need(duty, need, "table_full");
+		log_need(duty, need, "too_many_needs");
 		return;
 	}
 	if (duty->active)
--- a/duty/version_duty_plan.c
+++ b/duty/version_duty_plan.c
@@ -5,9 +5,6 @@
 #include "duty/version_duty_private.h"
 #include "policy/version_plan.h"
 
-/* A model whose need is not reported again keeps its engines this long. */
-#define NEED_RETENTION_NS (30 * NS_PER_S)
-
 /* The newer of the versions by the engine's entry and by its last load. */
 static uint64_t engine_version(const struct duty_engine *engine,
 			       const char *model)
@@ -44,8 +41,7 @@
 			    ? need->named_version - need->min_version
 			    : 0;
 	view->tokens = (double)need->tokens + 1;
-	view->is_active = clock_now_ns(duty->clock) - model->received_ns <
-			  NEED_RETENTION_NS;
+	view->is_active = need_is_active(model, clock_now_ns(duty->clock));
 }
 
 /* Index of the model in the plan; -1: the service has no need of it. */
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -420,6 +420,29 @@
 	EXPECT_GT(topics_.partition("keyed.weights", 0).records.size(), 5u);
 }
 
+// The table of needs kept all models that were ever trained. Once it was full,
+// a new one got no weights.
+TEST(NeedTable, DropsWhatIsNoLongerNeeded)
+{
+	struct need_table table;
+	struct weight_need need = {};
+	int64_t now_ns = 0;
+
+	need_table_init(&table);
+	for (int i = 0; i < PLAN_MODELS_MAX; i++) {
+		snprintf(need.model, sizeof(need.model), "m%d", i);
+		EXPECT_EQ(0, need_table_put(&table, &need, now_ns++));
+	}
+	snprintf(need.model, sizeof(need.model), "new");
+	EXPECT_EQ(-1, need_table_put(&table, &need, now_ns));
+	now_ns = NEED_RETENTION_NS;
+	EXPECT_EQ(0, need_table_put(&table, &need, now_ns));
+	EXPECT_EQ((uint32_t)PLAN_MODELS_MAX, table.count);
+	EXPECT_STREQ("new", table.models[0].need.model);
+	EXPECT_STREQ("m1", table.models[1].need.model);
+	need_table_finish(&table);
+}
+
 namespace
 {
 
