standin: take requests from the start instead of after it

Cause: the stand-in set its handler after mg_start(). Requests that came in between, as when a stand-in starts again at its address, were answered by CivetWeb itself with 404 and a Date, which it takes from gmtime(), whose result is shared by all threads. Evidence: in a trial with a delay between the two calls, 40 requests at once gave the same report, at the same place of the library.

Take requests by the callback begin_request, which is in force from the first one on. Tests no longer meet a stand-in that answers 404 for a moment, either.

--- a/standin/server.c
+++ b/standin/server.c
@@ -210,10 +210,10 @@
 	pthread_mutex_unlock(&server->lock);
 }
 
-static int on_request(struct mg_connection *conn, void *arg)
+static int on_request(struct mg_connection *conn)
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
-	struct server *server = arg;
+	struct server *server = mg_get_user_data(mg_get_context(conn));
 	struct call call = { .conn = conn,
 			     .method = info->request_method,
 			     .path = info->local_uri,
@@ -286,14 +286,15 @@
 		"1024",
 		NULL,
 	};
-	struct mg_callbacks callbacks = { 0 };
-	struct mg_context *context;
+	/*
+	 * In force from the first request on, unlike a handler that is set
+	 * after the start: until then CivetWeb answers by itself, which is not
+	 * thread-safe.
+	 */
+	struct mg_callbacks callbacks = { .begin_request = on_request };
 
 	snprintf(threads, sizeof(threads), "%u", options->threads);
-	context = mg_start(&callbacks, NULL, settings);
-	if (context)
-		mg_set_request_handler(context, "**", on_request, server);
-	return context;
+	return mg_start(&callbacks, server, settings);
 }
 
 /* Waits until no call runs, for a limited time. */
