app: cut and lift withdrawn keys once readers see the configuration

Callers saw: a daemon cut the streams of a withdrawn key, and answered the next request with that key 200. Now and then a request with the key was let in after the cut and ran to its end.

Cause: the record of a withdrawal had its effects while it was applied: the denial of the key was lifted and its requests were cut. The configuration that readers check keys against is published only after the whole chunk is applied. In between the key was neither denied nor withdrawn.

Change: the log client tells a listener when the configuration is published, and both effects wait for that. A decided denial still denies until it is lifted; the tests of the set that had it lifted at once now ask that it denies until then.

Tests: WithdrawnKey.IsRefusedWhenItsCallersAreCut failed in both cases before, WithdrawnKey.CutsItsCallersWhenASnapshotHoldsIt as well.

--- a/app/daemon.c
+++ b/app/daemon.c
@@ -67,6 +67,8 @@
 	state_events_init(&daemon->state_events, daemon);
 	log_client_set_observer(&daemon->log_client,
 				&daemon->state_events.base);
+	log_client_set_listener(&daemon->log_client,
+				&daemon->state_events.published);
 	return 0;
 }
 
--- a/app/identity.c
+++ b/app/identity.c
@@ -111,6 +111,25 @@
 	return secret + 1;
 }
 
+int identity_key_is_usable(struct daemon *daemon, const char *key_id)
+{
+	const struct config *config;
+	const struct key *key;
+	int usable;
+
+	/*
+	 * A denial is lifted only after the configuration is published, so
+	 * it is looked for first.
+	 */
+	if (denial_set_contains(&daemon->denials.set, key_id))
+		return 0;
+	config = log_client_config_begin(&daemon->log_client);
+	key = config_key(config, key_id);
+	usable = key && !key->withdrawn;
+	log_client_config_end(&daemon->log_client);
+	return usable;
+}
+
 static int key_matches(const struct key *key, const char *secret)
 {
 	uint8_t hash[KEY_HASH_BYTES];
--- a/app/identity.h
+++ b/app/identity.h
@@ -31,6 +31,9 @@
 		       const struct http_exchange *exchange,
 		       struct identity *identity, struct problem *problem);
 
+/* Whether no withdrawal of the key is known here; for keys checked before. */
+int identity_key_is_usable(struct daemon *daemon, const char *key_id);
+
 /* Hash of a secret as the configuration keeps it. */
 void identity_hash_secret(const uint8_t salt[KEY_SALT_BYTES],
 			  const char *secret, uint8_t out[KEY_HASH_BYTES]);
--- a/app/state_events.c
+++ b/app/state_events.c
@@ -1,24 +1,8 @@
 #include "app/state_events.h"
 
 #include "app/daemon.h"
-
-static const struct problem problem_withdrawn = {
-	.status = 401,
-	.type = "key_withdrawn",
-	.detail = "the key was withdrawn while the request ran",
-	.run = RUN_NOT_RUN,
-};
-
-void daemon_cut_key(struct daemon *daemon, const char *key_id)
-{
-	uint32_t count = running_table_cancel_key(&daemon->running, key_id,
-						  &problem_withdrawn);
-
-	if (count)
-		log_info(&daemon->log_app,
-			 "cut %u requests of withdrawn key '%s'", count,
-			 key_id);
-}
+#include "app/running_keys.h"
+#include "base/container_of.h"
 
 static void on_command(struct daemon *daemon, const Currant__Command *command,
 		       int accepted, const struct error *why)
@@ -36,7 +20,7 @@
 		     command->id, change ? change->name : "");
 	if (change &&
 	    change->verb == CURRANT__CHANGE_VERB__CHANGE_VERB_WITHDRAW)
-		daemon_cut_key(daemon, change->name);
+		daemon->state_events.keys_withdrawn = 1;
 }
 
 static void on_lease(struct daemon *daemon, const Currant__LeaseClaim *claim,
@@ -98,11 +82,30 @@
 
 	state_each_weight(state, raise_version, daemon);
 	state_each_quarantine(state, take_quarantine, daemon);
+	daemon->state_events.keys_withdrawn = 1;
+}
+
+/*
+ * Readers see the withdrawals from here on: what was cut or lifted earlier
+ * would let a request in between.
+ */
+static void on_published(struct publish_listener *listener)
+{
+	struct state_events *events =
+		container_of(listener, struct state_events, published);
+	struct daemon *daemon = events->daemon;
+
+	denial_set_lift_decided(&daemon->denials.set);
+	if (!events->keys_withdrawn)
+		return;
+	events->keys_withdrawn = 0;
+	running_keys_cut_withdrawn(daemon);
 }
 
 void state_events_init(struct state_events *events, struct daemon *daemon)
 {
 	events->base.applied = on_applied;
 	events->base.restored = on_restored;
+	events->published.on_published = on_published;
 	events->daemon = daemon;
 }
--- a/app/state_events.h
+++ b/app/state_events.h
@@ -1,19 +1,18 @@
 #ifndef APP_STATE_EVENTS_H
 #define APP_STATE_EVENTS_H
 
-#include "state/state.h"
+#include "state/log_client.h"
 
-/* What a daemon does when a record of the log was applied. */
+/* What a daemon does when records of the log were applied and published. */
 struct daemon;
 
 struct state_events {
 	struct state_observer base;
+	struct publish_listener published;
 	struct daemon *daemon;
+	int keys_withdrawn; /* since the configuration was published */
 };
 
 void state_events_init(struct state_events *events, struct daemon *daemon);
 
-/* Cuts all requests that came with a withdrawn key. */
-void daemon_cut_key(struct daemon *daemon, const char *key_id);
-
 #endif
--- a/app/withdrawal.c
+++ b/app/withdrawal.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "app/daemon.h"
+#include "app/running_keys.h"
 #include "base/alloc.h"
 
 #define APPEND_PERIOD_NS (1 * NS_PER_S)
@@ -16,7 +17,7 @@
 	struct daemon *daemon = ((struct withdrawals *)listener)->daemon;
 
 	timeline_add(&daemon->timeline, "keys", "key %s denied", key_id);
-	daemon_cut_key(daemon, key_id);
+	running_keys_cut(daemon, key_id);
 }
 
 static const struct denial_listener_vtable listener_vtable = {
--- a/peer/denial_set.c
+++ b/peer/denial_set.c
@@ -66,7 +66,7 @@
 	pthread_mutex_destroy(&set->lock);
 }
 
-static int is_decided(const struct denial_set *set, uint64_t hash)
+static int was_decided(const struct denial_set *set, uint64_t hash)
 {
 	uint64_t count = set->decided_total < DENIAL_SET_DECIDED
 				 ? set->decided_total
@@ -117,7 +117,7 @@
 
 	pthread_mutex_lock(&set->lock);
 	if (is_held(set, key_id, command_id) ||
-	    is_decided(set, denial_hash(key_id, command_id))) {
+	    was_decided(set, denial_hash(key_id, command_id))) {
 		outcome = DENIAL_KNOWN;
 	} else if (set->count >= DENIAL_SET_MAX) {
 		outcome = DENIAL_FULL;
@@ -151,11 +151,11 @@
 	*denial = set->denials[--set->count];
 }
 
-/* Drops each denial that `is_over` says yes to; returns whether any was. */
-static int drop_over(struct denial_set *set,
-		     int (*is_over)(const void *arg,
-				    const struct denial *denial),
-		     const void *arg)
+/* Drops each denial that `is_over` says yes to. */
+static void drop_over(struct denial_set *set,
+		      int (*is_over)(const void *arg,
+				     const struct denial *denial),
+		      const void *arg)
 {
 	int dropped = 0;
 
@@ -169,17 +169,33 @@
 	if (dropped)
 		publish(set);
 	pthread_mutex_unlock(&set->lock);
-	return dropped;
 }
 
-static int is_of_command(const void *arg, const struct denial *denial)
+int denial_set_decide(struct denial_set *set, const char *command_id)
+{
+	int held = 0;
+
+	pthread_mutex_lock(&set->lock);
+	for (uint32_t i = 0; i < set->count; i++) {
+		if (strcmp(set->denials[i].command_id, command_id))
+			continue;
+		set->denials[i].decided = 1;
+		held = 1;
+	}
+	pthread_mutex_unlock(&set->lock);
+	return held;
+}
+
+static int is_decided(const void *arg, const struct denial *denial)
 {
-	return !strcmp(denial->command_id, arg);
+	(void)arg;
+	return denial->decided;
 }
 
-int denial_set_decide(struct denial_set *set, const char *command_id)
+void denial_set_lift_decided(struct denial_set *set)
 {
-	return drop_over(set, is_of_command, command_id);
+	if (denial_set_digest(set))
+		drop_over(set, is_decided, NULL);
 }
 
 static int is_withdrawn(const void *arg, const struct denial *denial)
--- a/peer/denial_set.h
+++ b/peer/denial_set.h
@@ -11,9 +11,8 @@
 
 /*
  * Keys that are denied before the log says so. A denial belongs to the
- * command that withdraws the key, and is kept until the log has decided on
- * that command: then the configuration tells, or the denial is lifted.
- * Looking a key up takes no lock.
+ * command that withdraws the key, and is kept until readers see a configuration
+ * in which the log has decided on that command. Looking a key up takes no lock.
  */
 #define DENIAL_SET_MAX 4096
 
@@ -29,6 +28,7 @@
 	uint8_t *command; /* the packed Command, or NULL */
 	size_t command_len;
 	int64_t denied_ns;
+	int decided; /* by the log; denies until it is lifted */
 };
 
 struct denial_set {
@@ -58,11 +58,17 @@
 int denial_set_contains(struct denial_set *set, const char *key_id);
 
 /*
- * Forgets a command's denial, because the log has decided on it. Returns
- * whether one was held. It is not taken again from a late message.
+ * Notes that the log has decided on a command, whose denial stays until
+ * denial_set_lift_decided(). Returns whether one is held.
  */
 int denial_set_decide(struct denial_set *set, const char *command_id);
 
+/*
+ * Forgets the denials of decided commands, once the configuration that tells
+ * the outcome is published. They are not taken again from a late message.
+ */
+void denial_set_lift_decided(struct denial_set *set);
+
 /* Forgets the denials of keys that the configuration has as withdrawn. */
 void denial_set_settle(struct denial_set *set, const struct config *config);
 
--- a/request/running_table.c
+++ b/request/running_table.c
@@ -51,16 +51,16 @@
 	pthread_mutex_unlock(&shard->lock);
 }
 
-static uint32_t cancel_in_shard(struct running_shard *shard, const char *key_id,
-				const struct problem *problem)
+static uint32_t cancel_in_shard(struct running_shard *shard,
+				int (*matches)(void *arg, const char *key_id),
+				void *arg, const struct problem *problem)
 {
 	struct running_request *request;
 	uint32_t count = 0;
 
 	pthread_mutex_lock(&shard->lock);
 	for (request = shard->first; request; request = request->next) {
-		if (key_id ? strcmp(request->key_id, key_id)
-			   : !request->key_id[0])
+		if (!request->key_id[0] || !matches(arg, request->key_id))
 			continue;
 		request->cancel(request, problem);
 		count++;
@@ -69,23 +69,44 @@
 	return count;
 }
 
+static int is_same_key(void *arg, const char *key_id)
+{
+	return !strcmp(key_id, arg);
+}
+
 uint32_t running_table_cancel_key(struct running_table *table,
 				  const char *key_id,
 				  const struct problem *problem)
 {
-	return cancel_in_shard(shard_of(table, key_id), key_id, problem);
+	return cancel_in_shard(shard_of(table, key_id), is_same_key,
+			       (void *)key_id, problem);
 }
 
-uint32_t running_table_cancel_keyed(struct running_table *table,
-				    const struct problem *problem)
+uint32_t running_table_cancel_if(struct running_table *table,
+				 int (*matches)(void *arg, const char *key_id),
+				 void *arg, const struct problem *problem)
 {
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < RUNNING_SHARDS; i++)
-		count += cancel_in_shard(&table->shards[i], NULL, problem);
+		count += cancel_in_shard(&table->shards[i], matches, arg,
+					 problem);
 	return count;
 }
 
+static int is_any_key(void *arg, const char *key_id)
+{
+	(void)arg;
+	(void)key_id;
+	return 1;
+}
+
+uint32_t running_table_cancel_keyed(struct running_table *table,
+				    const struct problem *problem)
+{
+	return running_table_cancel_if(table, is_any_key, NULL, problem);
+}
+
 void running_table_each(struct running_table *table,
 			void (*fn)(void *arg,
 				   const struct running_request *request),
--- a/request/running_table.h
+++ b/request/running_table.h
@@ -50,6 +50,10 @@
 uint32_t running_table_cancel_key(struct running_table *table,
 				  const char *key_id,
 				  const struct problem *problem);
+/* Cancels all requests that came with a key for which `matches` holds. */
+uint32_t running_table_cancel_if(struct running_table *table,
+				 int (*matches)(void *arg, const char *key_id),
+				 void *arg, const struct problem *problem);
 uint32_t running_table_cancel_keyed(struct running_table *table,
 				    const struct problem *problem);
 
--- a/state/log_client.c
+++ b/state/log_client.c
@@ -149,6 +149,12 @@
 	client->observer = observer;
 }
 
+void log_client_set_listener(struct log_client *client,
+			     struct publish_listener *listener)
+{
+	client->listener = listener;
+}
+
 int log_client_start(struct log_client *client, struct error *err)
 {
 	client->stopping = 0;
@@ -196,10 +202,12 @@
 void log_client_publish(struct log_client *client)
 {
 	struct config *next = NULL;
+	int recovered;
 
 	pthread_mutex_lock(&client->lock);
-	if (client->recovered && state_config(client->state)->position !=
-					 client->published_position) {
+	recovered = client->recovered;
+	if (recovered && state_config(client->state)->position !=
+				 client->published_position) {
 		next = xcalloc(1, sizeof(*next));
 		config_clone(next, state_config(client->state));
 		next->position = state_config(client->state)->position;
@@ -212,6 +220,8 @@
 		config_finish(old);
 		free(old);
 	}
+	if (recovered && client->listener)
+		client->listener->on_published(client->listener);
 	pthread_mutex_lock(&client->lock);
 	client->published_next = state_next_offset(client->state);
 	pthread_cond_broadcast(&client->applied);
--- a/state/log_client.h
+++ b/state/log_client.h
@@ -38,6 +38,14 @@
 	uint32_t snapshot_part_bytes;
 };
 
+struct publish_listener {
+	/*
+	 * Readers of the configuration see all that the observer was told of.
+	 * The call must be short, and must not read or feed the client.
+	 */
+	void (*on_published)(struct publish_listener *listener);
+};
+
 struct log_client {
 	struct log_port *port;
 	struct clock *clock;
@@ -45,6 +53,7 @@
 	struct log_part log;
 	struct state_observer own_observer;
 	struct state_observer *observer;
+	struct publish_listener *listener; /* may be NULL */
 	pthread_mutex_t publish_lock; /* taken before `lock` */
 	struct published config;
 	pthread_mutex_t lock; /* guards all that follows */
@@ -108,6 +117,13 @@
 void log_client_set_observer(struct log_client *client,
 			     struct state_observer *observer);
 
+/*
+ * Set before the threads start. The listener is called after each read, once
+ * the log has been recovered.
+ */
+void log_client_set_listener(struct log_client *client,
+			     struct publish_listener *listener);
+
 /* Starts and stops the two threads; stopping waits for calls in flight. */
 int log_client_start(struct log_client *client, struct error *err);
 void log_client_stop(struct log_client *client);
--- a/t/test-peer-denial.cc
+++ b/t/test-peer-denial.cc
@@ -23,7 +23,7 @@
 	struct denial_set set;
 	struct config config;
 	struct key keys[2] = {};
-	enum { ADD, DECIDE, SETTLE };
+	enum { ADD, DECIDE, LIFT, SETTLE };
 	const struct {
 		const char *name;
 		int what;
@@ -36,9 +36,16 @@
 		{ "by a second command", ADD, "k1", "c2", DENIAL_NEW, true,
 		  false },
 		{ "the first is rejected", DECIDE, "", "c1", 1, true, false },
+		{ "and lifted", LIFT, "", "", 0, true, false },
 		{ "a late message of it", ADD, "k1", "c1", DENIAL_KNOWN, true,
 		  false },
-		{ "the second too", DECIDE, "", "c2", 1, false, false },
+		{ "the second too", DECIDE, "", "c2", 1, true, false },
+		{ "decided again", DECIDE, "", "c2", 1, true, false },
+		{ "a message before it is lifted", ADD, "k1", "c2",
+		  DENIAL_KNOWN, true, false },
+		{ "lifted", LIFT, "", "", 0, false, false },
+		{ "a late message of the second", ADD, "k1", "c2", DENIAL_KNOWN,
+		  false, false },
 		{ "one that is not held", DECIDE, "", "c9", 0, false, false },
 		{ "another key", ADD, "k2", "c3", DENIAL_NEW, false, true },
 		{ "and one more", ADD, "k1", "c4", DENIAL_NEW, true, true },
@@ -62,6 +69,8 @@
 						 0);
 		else if (step.what == DECIDE)
 			outcome = denial_set_decide(&set, step.command_id);
+		else if (step.what == LIFT)
+			denial_set_lift_decided(&set);
 		else
 			denial_set_settle(&set, &config);
 		EXPECT_EQ(step.outcome, outcome) << step.name;
@@ -89,6 +98,9 @@
 	for (int i = 0; i < DENIAL_SET_MAX; i++)
 		ASSERT_TRUE(denial_set_contains(&set, id("k", i).c_str()));
 	EXPECT_EQ(1, denial_set_decide(&set, "c7"));
+	EXPECT_EQ(DENIAL_FULL,
+		  denial_set_add(&set, "more", "more", nullptr, 0, 0));
+	denial_set_lift_decided(&set);
 	EXPECT_EQ(DENIAL_NEW,
 		  denial_set_add(&set, "more", "more", nullptr, 0, 0));
 	denial_set_finish(&set);
@@ -126,8 +138,10 @@
 	for (int i = 0; i < 100; i++) {
 		denial_set_add(&set, id("k", i).c_str(), id("c", i).c_str(),
 			       nullptr, 0, 0);
-		if (i % 3 == 0)
+		if (i % 3 == 0) {
 			denial_set_decide(&set, id("c", i).c_str());
+			denial_set_lift_decided(&set);
+		}
 	}
 	__atomic_store_n(&stop, true, __ATOMIC_RELEASE);
 	reader.join();
@@ -306,6 +320,7 @@
 	network.join(1, 2);
 	deny(&network, 0, "k1");
 	denial_set_decide(&network.nodes[0]->spread.set, "c1");
+	denial_set_lift_decided(&network.nodes[0]->spread.set);
 	for (int i = 0; i < 5; i++)
 		network.beat();
 	EXPECT_EQ(2u, network.denying("k1"));
