app: look at a request's key again once it is registered

A request is registered some time after its key was checked. If the key is withdrawn or denied in between, or the daemon isolated, the cut finds only what is registered: the request runs to its end, which may be long after the two seconds in which a withdrawn key must stop.

Change: a request is added by running_keys_add(), which looks at the key again and cancels the request with the problem that the cut would have given it. Either the cut finds the request, or the request sees what the cut was for.

Test: WithdrawnKey.CutsRequestsThatWereCheckedBefore fails without that look for a denied key, a withdrawn one and an isolated daemon.

--- a/app/completion_api.c
+++ b/app/completion_api.c
@@ -6,6 +6,7 @@
 
 #include "app/caller_api.h"
 #include "app/identity.h"
+#include "app/running_keys.h"
 #include "app/trace.h"
 #include "base/alloc.h"
 #include "base/hash.h"
@@ -165,7 +166,7 @@
 	running->started_ns = clock_now_ns(&c->daemon->clock);
 	running->cancel = cancel_running;
 	running->arg = c->job;
-	running_table_add(&c->daemon->running, running);
+	running_keys_add(c->daemon, running);
 }
 
 static void send_answer(struct completion *c)
--- a/app/peer_events.c
+++ b/app/peer_events.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "app/daemon.h"
+#include "app/running_keys.h"
 #include "base/alloc.h"
 #include "membership/isolation.h"
 #include "membership/rank.h"
@@ -209,14 +210,6 @@
 	free(members);
 }
 
-static const struct problem problem_isolated = {
-	.status = 503,
-	.type = "isolated",
-	.detail = "this host can no longer know of withdrawn keys",
-	.run = RUN_UNKNOWN,
-	.retry_after_ns = 2 * NS_PER_S,
-};
-
 static void change_isolation(struct daemon *daemon, enum isolation isolation)
 {
 	int isolated = !isolation_serves_keyed(isolation);
@@ -229,7 +222,7 @@
 	log_warning(&daemon->log_app, "isolation is now %s",
 		    isolation_name(isolation));
 	if (isolated)
-		running_table_cancel_keyed(&daemon->running, &problem_isolated);
+		running_keys_cut_isolated(daemon);
 }
 
 /* The log takes several hundred appends a second from all daemons. */
--- a/app/running_keys.c
+++ b/app/running_keys.c
@@ -10,6 +10,26 @@
 	.run = RUN_NOT_RUN,
 };
 
+static const struct problem problem_isolated = {
+	.status = 503,
+	.type = "isolated",
+	.detail = "this host can no longer know of withdrawn keys",
+	.run = RUN_UNKNOWN,
+	.retry_after_ns = 2 * NS_PER_S,
+};
+
+void running_keys_add(struct daemon *daemon, struct running_request *request)
+{
+	running_table_add(&daemon->running, request);
+	if (!request->key_id[0])
+		return;
+	/* A cut since the key was checked did not find the request. */
+	if (__atomic_load_n(&daemon->isolated, __ATOMIC_ACQUIRE))
+		request->cancel(request, &problem_isolated);
+	else if (!identity_key_is_usable(daemon, request->key_id))
+		request->cancel(request, &problem_withdrawn);
+}
+
 void running_keys_cut(struct daemon *daemon, const char *key_id)
 {
 	uint32_t count = running_table_cancel_key(&daemon->running, key_id,
@@ -35,3 +55,8 @@
 		log_info(&daemon->log_app, "cut %u requests of withdrawn keys",
 			 count);
 }
+
+void running_keys_cut_isolated(struct daemon *daemon)
+{
+	running_table_cancel_keyed(&daemon->running, &problem_isolated);
+}
--- a/app/service_api.c
+++ b/app/service_api.c
@@ -5,6 +5,7 @@
 
 #include "app/caller_api.h"
 #include "app/identity.h"
+#include "app/running_keys.h"
 #include "base/alloc.h"
 #include "base/hash.h"
 #include "request/once_table.h"
@@ -178,7 +179,7 @@
 	running->started_ns = clock_now_ns(&s->daemon->clock);
 	running->cancel = cancel_running;
 	running->arg = &s->call;
-	running_table_add(&s->daemon->running, running);
+	running_keys_add(s->daemon, running);
 }
 
 static void remember(struct service *s, int result,
--- a/t/test-withdrawn-key.cc
+++ b/t/test-withdrawn-key.cc
@@ -11,6 +11,7 @@
 #include "t/lib-record.h"
 extern "C" {
 #include "app/daemon.h"
+#include "app/running_keys.h"
 #include "app/state_events.h"
 #include "base/alloc.h"
 }
@@ -119,7 +120,7 @@
 		copy_text(request.key_id, sizeof(request.key_id), key_id);
 		request.cancel = on_cancel;
 		request.arg = this;
-		running_table_add(&host->daemon->running, &request);
+		running_keys_add(host->daemon.get(), &request);
 	}
 
 	~Caller()
@@ -128,11 +129,12 @@
 	}
 
 	static void on_cancel(struct running_request *request,
-			      const struct problem *)
+			      const struct problem *problem)
 	{
 		Caller *caller = static_cast<Caller *>(request->arg);
 
 		caller->cuts++;
+		caller->problem = problem->type;
 		caller->refused_then =
 			caller->host->denies(request->key_id) ||
 			caller->host->has_withdrawn(request->key_id);
@@ -142,6 +144,7 @@
 	struct running_request request;
 	int cuts = 0;
 	bool refused_then = false;
+	std::string problem;
 };
 
 // Guards against a key that works again between the end of its denial and
@@ -162,14 +165,14 @@
 
 		host.grant_keys();
 		ASSERT_FALSE(host.has_withdrawn("red-key"));
+		Caller caller(&host, "red-key");
+		Caller other(&host, "blue-key");
 		if (c.denied) {
 			ASSERT_EQ(DENIAL_NEW,
 				  denial_set_add(&host.daemon->denials.set,
 						 "red-key", "c4", nullptr, 0,
 						 0));
 		}
-		Caller caller(&host, "red-key");
-		Caller other(&host, "blue-key");
 		host.apply("c4", "withdraw key red-key");
 		EXPECT_EQ(1, caller.cuts);
 		EXPECT_TRUE(caller.refused_then);
@@ -204,3 +207,41 @@
 	EXPECT_TRUE(caller.refused_then);
 	EXPECT_EQ(0, other.cuts);
 }
+
+// Guards against a request that is let in just before the cut of its key, and
+// runs to its end.
+TEST(WithdrawnKey, CutsRequestsThatWereCheckedBefore)
+{
+	enum { NOTHING, DENY, WITHDRAW, ISOLATE };
+	const struct {
+		const char *name;
+		int meanwhile;
+		const char *key_id;
+		const char *problem; // "": it runs
+	} cases[] = {
+		{ "nothing happened", NOTHING, "red-key", "" },
+		{ "denied", DENY, "red-key", "key_withdrawn" },
+		{ "withdrawn", WITHDRAW, "red-key", "key_withdrawn" },
+		{ "isolated", ISOLATE, "red-key", "isolated" },
+		{ "another key is denied", DENY, "blue-key", "" },
+		{ "another key is withdrawn", WITHDRAW, "blue-key", "" },
+		{ "no key, isolated", ISOLATE, "", "" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		KeyHost host;
+
+		host.grant_keys();
+		if (c.meanwhile == DENY)
+			denial_set_add(&host.daemon->denials.set, "red-key",
+				       "c4", nullptr, 0, 0);
+		else if (c.meanwhile == WITHDRAW)
+			host.apply("c4", "withdraw key red-key");
+		else if (c.meanwhile == ISOLATE)
+			host.daemon->isolated = 1;
+		Caller caller(&host, c.key_id);
+		EXPECT_EQ(c.problem, caller.problem);
+		EXPECT_EQ(*c.problem ? 1 : 0, caller.cuts);
+	}
+}
