state: let a flush end when outcomes can be told

Operators saw: a daemon that stopped in the middle of a lease renewal kept the lease, and the next holder waited until it had expired.

Cause: log_client_flush() returned as soon as nothing was queued, and a record leaves the queue when it is applied. log_client_poll() tells its outcome only when it is published. In between the eight rounds of lease_keeper_release_all() pass at once, and the lease is never released.

Change: a flush waits until what was applied is published, too. Its error says which of the two it waited for.

Test: LogClient.FlushWaitsUntilTheOutcomeCanBeTold, failed before.

--- a/state/log_append.c
+++ b/state/log_append.c
@@ -128,18 +128,26 @@
 	return may_take_effect;
 }
 
+/* Whether records wait for the log or for readers; the lock is held. */
+static int is_flushing(const struct log_client *client)
+{
+	return client->queue.count ||
+	       client->published_next < state_next_offset(client->state);
+}
+
 int log_client_flush(struct log_client *client, int64_t timeout_ns,
 		     struct error *err)
 {
 	int64_t until_ns = wait_now_ns() + timeout_ns;
 	uint32_t left;
+	int flushing;
 
 	pthread_mutex_lock(&client->lock);
 	client->urgent_waiters++;
 	client->flush_due_ns = 1;
 	pthread_cond_broadcast(&client->work);
 	pthread_cond_broadcast(&client->applied);
-	while (client->queue.count && !client->stopping &&
+	while ((flushing = is_flushing(client)) && !client->stopping &&
 	       log_client_wait_until(client, &client->applied, until_ns))
 		;
 	client->urgent_waiters--;
@@ -148,6 +156,9 @@
 	if (left)
 		return error_set(err, ERROR_TIMEOUT,
 				 "%u records still wait for the log", left);
+	if (flushing)
+		return error_set(err, ERROR_TIMEOUT,
+				 "records of the log are not published yet");
 	return 0;
 }
 
--- a/state/log_client.h
+++ b/state/log_client.h
@@ -168,7 +168,10 @@
 int log_client_poll(struct log_client *client, struct log_waiter *waiter);
 int log_client_give_up(struct log_client *client, struct log_waiter *waiter);
 
-/* Waits until nothing is queued; ERROR_TIMEOUT if it takes longer. */
+/*
+ * Waits until nothing is queued and what was applied is published, so that
+ * log_client_poll() tells the outcome; ERROR_TIMEOUT if it takes longer.
+ */
 int log_client_flush(struct log_client *client, int64_t timeout_ns,
 		     struct error *err);
 
--- a/t/test-state-log-client.cc
+++ b/t/test-state-log-client.cc
@@ -242,3 +242,41 @@
 	EXPECT_EQ(-1, log_client_flush(&a.client, 10 * NS_PER_MS, &a.err));
 	EXPECT_EQ(ERROR_TIMEOUT, a.err.code);
 }
+
+// Flushes while what was read is applied and not yet published.
+struct FlushingListener {
+	struct publish_listener base;
+	struct log_client *client;
+	std::vector<int> results;
+};
+
+static void flush_unpublished(struct publish_listener *base)
+{
+	auto *listener = reinterpret_cast<FlushingListener *>(base);
+
+	listener->results.push_back(
+		log_client_flush(listener->client, 10 * NS_PER_MS, nullptr));
+}
+
+// Guards against a lease that a stopping daemon keeps, as its last renewal is
+// in the log but its outcome can't be told yet.
+TEST(LogClient, FlushWaitsUntilTheOutcomeCanBeTold)
+{
+	FakeLog log;
+	Daemon a(&log, "a", 1);
+	FlushingListener listener = {};
+	struct log_waiter waiter = {};
+
+	listener.base.on_published = flush_unpublished;
+	listener.client = &a.client;
+	log_client_set_listener(&a.client, &listener.base);
+	with_create_team("c1", "red", "1", [&](const Currant__Record *r) {
+		ASSERT_EQ(0, log_client_begin(&a.client, r, LOG_SUBMIT_URGENT,
+					      &waiter, &a.err));
+	});
+	ASSERT_EQ(1, a.append());
+	ASSERT_EQ(1, a.read());
+	EXPECT_EQ(std::vector<int>({ -1 }), listener.results);
+	EXPECT_EQ(0, log_client_flush(&a.client, 10 * NS_PER_MS, &a.err));
+	EXPECT_EQ(1, log_client_poll(&a.client, &waiter));
+}
