standin: keep the log over its rate for as long as a test needs that

Http/LogContract.FaultsOfAppendHaveTrueOutcomes/0 took an append that it wanted refused. Its test filled the rate of the stand-in until one append got 429, and the limit had room for the next one 20 ms later, while the test was still on its way to the append that it checks.

Change: a fault of the stand-in's log keeps it over its rate until the fault is taken back. The test still exceeds the rate itself first, and now fails if no append is refused by it, where it went on before; the rate is 20 a second instead of 50, so that a slow machine exceeds it, too.

--- a/standin/log.c
+++ b/standin/log.c
@@ -33,6 +33,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t appended;
 	struct rate_limit rate; /* of all streams together */
+	int over_rate; /* a fault: no append passes the rate limit */
 	uint64_t retain;
 	struct log_stream streams[MAX_STREAMS]; /* made when first named */
 	uint32_t stream_count;
@@ -93,7 +94,7 @@
 
 	pthread_mutex_lock(&log->lock);
 	stream = find_stream(log, call, reply);
-	if (stream && !rate_limit_take(&log->rate)) {
+	if (stream && (log->over_rate || !rate_limit_take(&log->rate))) {
 		reply_error(reply, 429, "too many appends");
 		reply->retry_after_s = 1;
 		stream = NULL;
@@ -227,11 +228,21 @@
 	pthread_mutex_unlock(&log->lock);
 }
 
+static void log_set_faults(struct role *role, const json_t *settings)
+{
+	struct log_role *log = (struct log_role *)role;
+
+	pthread_mutex_lock(&log->lock);
+	log->over_rate = json_is_true(json_object_get(settings, "over_rate"));
+	pthread_mutex_unlock(&log->lock);
+}
+
 struct role *log_role_new(const struct standin_options *options)
 {
 	static const struct role_vtable vtable = {
 		.handle = log_handle,
 		.stop = log_stop,
+		.set_faults = log_set_faults,
 	};
 	struct log_role *log = xcalloc(1, sizeof(*log));
 
--- a/t/test-client-log.cc
+++ b/t/test-client-log.cc
@@ -26,7 +26,7 @@
 class HttpLog : public LogUnderTest
 {
       public:
-	HttpLog() : standin_("log", { "--appends-per-s", "50" })
+	HttpLog() : standin_("log", { "--appends-per-s", "20" })
 	{
 		log_http_init(&log_, standin_.url().c_str(), nullptr);
 	}
@@ -46,7 +46,7 @@
 			"{}",
 			"{\"lose_answers\": 1}",
 			"{\"delay_ms\": 60000}",
-			"{}",
+			"{\"over_rate\": true}",
 		};
 
 		if (fault == REFUSED) {
@@ -55,11 +55,9 @@
 		}
 		if (!standin_.running())
 			standin_.restart();
+		if (fault == OVER_RATE)
+			exceed_rate();
 		standin_.faults(settings[fault]);
-		for (int i = 0; fault == OVER_RATE && i < 100; i++)
-			if (http_post(standin_.address(), "/v1/append", "x")
-				    .status == 429)
-				return;
 	}
 	void drop_before(uint64_t offset) override
 	{
@@ -68,6 +66,18 @@
 	}
 
       private:
+	// Appends until one is refused; the fault keeps it so.
+	void exceed_rate()
+	{
+		int status = 200;
+
+		for (int i = 0; status == 200 && i < 1000; i++)
+			status =
+				http_post(standin_.address(), "/v1/append", "x")
+					.status;
+		EXPECT_EQ(429, status);
+	}
+
 	Standin standin_;
 	struct log_http log_;
 };
