app: look for a usable key in one place

The check of a presented key and the later look at the same key each asked whether it is denied and then whether it is withdrawn. The order of the two matters, since a denial is lifted only after the configuration is published, and only one of them said so.

Both use begin_usable_key() now.

--- a/app/identity.c
+++ b/app/identity.c
@@ -111,21 +111,31 @@
 	return secret + 1;
 }
 
-int identity_key_is_usable(struct daemon *daemon, const char *key_id)
+/*
+ * Finds a key that is neither denied nor withdrawn; NULL if there is none. It
+ * is valid until log_client_config_end(), which the caller calls either way.
+ */
+static const struct key *begin_usable_key(struct daemon *daemon,
+					  const char *key_id,
+					  const struct config **config)
 {
-	const struct config *config;
-	const struct key *key;
-	int usable;
-
 	/*
 	 * A denial is lifted only after the configuration is published, so
 	 * it is looked for first.
 	 */
-	if (denial_set_contains(&daemon->denials.set, key_id))
-		return 0;
-	config = log_client_config_begin(&daemon->log_client);
-	key = config_key(config, key_id);
-	usable = key && !key->withdrawn;
+	int denied = denial_set_contains(&daemon->denials.set, key_id);
+	const struct key *key;
+
+	*config = log_client_config_begin(&daemon->log_client);
+	key = config_key(*config, key_id);
+	return key && !denied && !key->withdrawn ? key : NULL;
+}
+
+int identity_key_is_usable(struct daemon *daemon, const char *key_id)
+{
+	const struct config *config;
+	int usable = begin_usable_key(daemon, key_id, &config) != NULL;
+
 	log_client_config_end(&daemon->log_client);
 	return usable;
 }
@@ -134,20 +144,18 @@
 {
 	uint8_t hash[KEY_HASH_BYTES];
 
-	if (!key || key->withdrawn)
-		return 0;
 	identity_hash_secret(key->salt, secret, hash);
 	return !CRYPTO_memcmp(hash, key->hash, sizeof(hash));
 }
 
-/* Takes the team of a key that is valid in the configuration. */
+/* Takes the team of a usable key. */
 static int take_team(struct daemon *daemon, struct identity *identity,
 		     const char *secret)
 {
-	const struct config *config =
-		log_client_config_begin(&daemon->log_client);
-	const struct key *key = config_key(config, identity->key_id);
-	int matches = key_matches(key, secret);
+	const struct config *config;
+	const struct key *key =
+		begin_usable_key(daemon, identity->key_id, &config);
+	int matches = key && key_matches(key, secret);
 
 	if (matches) {
 		const struct team *team = config_team(config, key->team);
@@ -164,9 +172,7 @@
 {
 	const char *secret = split_key(text, identity->key_id);
 
-	if (!secret ||
-	    denial_set_contains(&daemon->denials.set, identity->key_id) ||
-	    !take_team(daemon, identity, secret)) {
+	if (!secret || !take_team(daemon, identity, secret)) {
 		*problem = problem_wrong_key;
 		return -1;
 	}
