service_call: read the problem of a withdrawal only where it is answered

is_cancelled() copied the withdrawal's problem out, for which two of its three callers had no use, and fail() got a second exit for it. The problem does not change once the call is cancelled, so that fail() reads it after it has seen that under the lock.

Behaviour stays as it is: test-service-call passes, also under the thread sanitizer.

--- a/request/service_call.c
+++ b/request/service_call.c
@@ -132,15 +132,13 @@
 			  1;
 }
 
-/* Returns 1 with the withdrawal's problem if it has cancelled the call. */
-static int is_cancelled(struct service_call *call, struct problem *problem)
+/* Whether a withdrawal has cancelled the call; its problem stays as it is. */
+static int is_cancelled(struct service_call *call)
 {
 	int cancelled;
 
 	pthread_mutex_lock(&call->lock);
 	cancelled = call->cancelled;
-	if (cancelled)
-		*problem = call->problem;
 	pthread_mutex_unlock(&call->lock);
 	return cancelled;
 }
@@ -174,8 +172,6 @@
 /* Returns 1 if the call ended, 0 if another try may follow. */
 static int judge(struct service_call *call)
 {
-	struct problem problem;
-
 	if (call->call.outcome == CALL_ANSWERED) {
 		request_life_step(&call->life, EVENT_COMPLETE);
 		return 1;
@@ -185,23 +181,23 @@
 		return 0;
 	}
 	request_life_step(&call->life, EVENT_LOST);
-	return is_cancelled(call, &problem) || !call->life.repeatable;
+	return is_cancelled(call) || !call->life.repeatable;
 }
 
 static int fail(struct service_call *call, struct problem *problem)
 {
-	if (is_cancelled(call, problem)) {
-		problem->run = call->life.run;
-		return -1;
-	}
-	if (clock_now_ns(call->env->clock) >= call->deadline_ns)
+	int cancelled = is_cancelled(call);
+
+	if (cancelled)
+		*problem = call->problem;
+	else if (clock_now_ns(call->env->clock) >= call->deadline_ns)
 		*problem = problem_deadline;
 	else if (call->life.run != RUN_NOT_RUN)
 		*problem = problem_unknown;
 	else
 		*problem = problem_no_server;
 	problem->run = call->life.run;
-	if (problem->run == RUN_NOT_RUN)
+	if (problem->run == RUN_NOT_RUN && !cancelled)
 		problem->retry_after_ns = server_table_retry_after_ns(
 			call->env->servers, call->pool);
 	return -1;
@@ -229,8 +225,7 @@
 		     const struct service_request *request,
 		     struct problem *problem)
 {
-	while (call->tries < SERVICE_TRIES_MAX &&
-	       !is_cancelled(call, problem) &&
+	while (call->tries < SERVICE_TRIES_MAX && !is_cancelled(call) &&
 	       clock_now_ns(call->env->clock) < call->deadline_ns) {
 		if (pick_server(call))
 			break;
