t: share the event loop and store of the tests of batches

Four fixtures set up the same loop and the same store in memory, and that of the rewards had copies of add_host(), add_engine() and kill() of the batches. They derive from BatchStore or Batches now; scorers join a new host by join_servers().

--- a/t/lib-batches.h
+++ b/t/lib-batches.h
@@ -11,28 +11,42 @@
 
 #include "lib-batch-host.h"
 
-// Daemons with fake engines and a store in memory.
-class Batches : public ::testing::Test
+// An event loop and a store in memory that takes small records only.
+class BatchStore : public ::testing::Test
 {
       protected:
-	Batches() : topics_(&loop_.reactor.timers)
+	BatchStore() : topics_(&loop_.reactor.timers)
 	{
 		topics_.delay_ms = 1;
 		topics_.log()->max_record_bytes = 65536;
 		topics_.log()->max_append_bytes = 1000000;
 	}
 
+	TestReactor loop_;
+	FakeTopics topics_;
+};
+
+// Daemons with fake engines.
+class Batches : public BatchStore
+{
+      protected:
 	BatchHost *add_host(const std::string &name, uint64_t incarnation = 1)
 	{
 		hosts_.emplace_back(
 			new BatchHost(&loop_, &topics_, name, incarnation));
 		hosts_.back()->configure();
-		for (auto &engine : engines_)
-			engine->join(&hosts_.back()->fleet, "s", "m");
+		join_servers(hosts_.back().get());
 		hosts_.back()->wait_ready();
 		return hosts_.back().get();
 	}
 
+	// Puts the servers there are into the fleet of a new host.
+	virtual void join_servers(BatchHost *host)
+	{
+		for (auto &engine : engines_)
+			engine->join(&host->fleet, "s", "m");
+	}
+
 	FakeServer *add_engine(const std::string &id,
 			       const FakeServer::Behaviour &behaviour,
 			       uint64_t version = 1, uint32_t slots = 4)
@@ -82,8 +96,6 @@
 				.c_str()));
 	}
 
-	TestReactor loop_;
-	FakeTopics topics_;
 	std::vector<std::unique_ptr<FakeServer>> engines_;
 	std::vector<std::unique_ptr<BatchHost>> hosts_;
 };
--- a/t/test-batch-demand.cc
+++ b/t/test-batch-demand.cc
@@ -7,22 +7,15 @@
 #include <string>
 #include <vector>
 
-#include "lib-batch-host.h"
+#include "lib-batches.h"
 #include "lib-demand.h"
 
 namespace
 {
 
-class BatchDemand : public ::testing::Test
+class BatchDemand : public BatchStore
 {
       protected:
-	BatchDemand() : topics_(&loop_.reactor.timers)
-	{
-		topics_.delay_ms = 1;
-		topics_.log()->max_record_bytes = 65536;
-		topics_.log()->max_append_bytes = 1000000;
-	}
-
 	~BatchDemand() override
 	{
 		hosts_.clear();
@@ -46,8 +39,6 @@
 		})) << demands_.back()->seen.size();
 	}
 
-	TestReactor loop_;
-	FakeTopics topics_;
 	std::vector<std::unique_ptr<DemandLog>> demands_;
 	std::vector<std::unique_ptr<BatchHost>> hosts_;
 };
--- a/t/test-rewards.cc
+++ b/t/test-rewards.cc
@@ -2,52 +2,30 @@
 // servers.
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "lib-batch-host.h"
+#include "lib-batches.h"
 
 namespace
 {
 
-class Rewards : public ::testing::Test
+class Rewards : public Batches
 {
       protected:
-	Rewards() : topics_(&loop_.reactor.timers)
+	Rewards()
 	{
-		topics_.delay_ms = 1;
-		topics_.log()->max_record_bytes = 65536;
-		topics_.log()->max_append_bytes = 1000000;
 		submission_.scorer = "/score/x";
 	}
 
-	BatchHost *add_host(const std::string &name, uint64_t incarnation = 1)
+	void join_servers(BatchHost *host) override
 	{
-		hosts_.emplace_back(
-			new BatchHost(&loop_, &topics_, name, incarnation));
-		hosts_.back()->configure();
-		for (auto &engine : engines_)
-			engine->join(&hosts_.back()->fleet, "s", "m");
+		Batches::join_servers(host);
 		for (auto &scorer : scorers_)
-			scorer.second->join(&hosts_.back()->fleet,
-					    scorer.first);
-		hosts_.back()->wait_ready();
-		return hosts_.back().get();
-	}
-
-	FakeServer *add_engine(const std::string &id, const ServerReply &reply)
-	{
-		engines_.emplace_back(
-			new FakeServer(&loop_, id, [reply](const ServerSaw &) {
-				return reply;
-			}));
-		for (auto &host : hosts_)
-			engines_.back()->join(&host->fleet, "s", "m");
-		return engines_.back().get();
+			scorer.second->join(&host->fleet, scorer.first);
 	}
 
 	FakeServer *add_scorer(const std::string &id,
@@ -69,13 +47,6 @@
 			service);
 	}
 
-	void kill(BatchHost *host)
-	{
-		hosts_.erase(std::find_if(
-			hosts_.begin(), hosts_.end(),
-			[host](auto &h) { return h.get() == host; }));
-	}
-
 	size_t calls()
 	{
 		size_t count = 0;
@@ -100,13 +71,9 @@
 		});
 	}
 
-	TestReactor loop_;
-	FakeTopics topics_;
 	Submission submission_;
-	std::vector<std::unique_ptr<FakeServer>> engines_;
 	std::vector<std::pair<std::string, std::unique_ptr<FakeServer>>>
 		scorers_;
-	std::vector<std::unique_ptr<BatchHost>> hosts_;
 };
 
 } // namespace
--- a/t/test-status.cc
+++ b/t/test-status.cc
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "lib-batch-host.h"
+#include "lib-batches.h"
 
 extern "C" {
 #include "base/alloc.h"
@@ -17,14 +17,11 @@
 namespace
 {
 
-class Status : public ::testing::Test
+class Status : public BatchStore
 {
       protected:
-	Status() : topics_(&loop_.reactor.timers)
+	Status()
 	{
-		topics_.delay_ms = 1;
-		topics_.log()->max_record_bytes = 65536;
-		topics_.log()->max_append_bytes = 1000000;
 		counter_set_init(&counters_);
 		named_versions_init(&named_);
 		memset(&settings_, 0, sizeof(settings_));
@@ -117,8 +114,6 @@
 			[this] { return engine_->running == 4; }));
 	}
 
-	TestReactor loop_;
-	FakeTopics topics_;
 	struct counter_set counters_;
 	struct named_versions named_;
 	struct entry_settings settings_;
