--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -19,7 +19,7 @@
 #include <unistd.h>
 
 #define TOPICS_MAX 160
-#define RUNS_MAX 20000
+#define RUNS_MAX 200000
 #define RETENTION_S 300
 
 struct log_record {
@@ -51,6 +51,11 @@
 	char *body;
 	size_t body_len;
 	int silent;
+	/* A second copy of the last answer, sent before the next one. */
+	char *extra;
+	size_t extra_len;
+	char *copy; /* of the answer that is being sent; NULL: none */
+	size_t copy_len;
 	struct connection *next;
 };
 
@@ -270,6 +275,8 @@
 	free(c->in);
 	free(c->head);
 	free(c->body);
+	free(c->extra);
+	free(c->copy);
 	free(c);
 	return NULL;
 }
@@ -931,6 +938,9 @@
 	return answer_json(c, status, "{}");
 }
 
+static void send_part(struct connection *c, const char *data, size_t len,
+		      int *failed);
+
 static int send_event(struct connection *c, const char *text)
 {
 	char chunk[1024];
@@ -938,10 +948,27 @@
 	int n = snprintf(chunk, sizeof(chunk), "%zx\r\n%s\r\n", strlen(text),
 			 text);
 
-	send_all(c->fd, chunk, (size_t)n, &failed);
+	send_part(c, chunk, (size_t)n, &failed);
 	return failed;
 }
 
+/* Sends a part of an answer, and keeps it if it is to come again. */
+static void send_part(struct connection *c, const char *data, size_t len,
+		      int *failed)
+{
+	if (c->copy) {
+		c->copy = realloc(c->copy, c->copy_len + len);
+		memcpy(c->copy + c->copy_len, data, len);
+		c->copy_len += len;
+	}
+	send_all(c->fd, data, len, failed);
+}
+
+static double random_share(void)
+{
+	return (double)rand() / ((double)RAND_MAX + 1);
+}
+
 /* A run of an item: events, each with its id, in chunks. */
 static int serve_run(struct connection *c, struct engine *engine)
 {
@@ -969,6 +996,13 @@
 	run.version = version = engine->version;
 	if (run_policy)
 		policy = run_policy(engine, id, c->target, attempts_of(id));
+	if (policy == 200 && random_share() < engine->error_share)
+		policy = 500;
+	run.planned = policy;
+	if (random_share() < engine->extra_share) {
+		c->copy = malloc(1);
+		c->copy_len = 0;
+	}
 	kept = add_run(&run);
 	engine->running++;
 	pthread_mutex_unlock(&world_lock);
@@ -976,10 +1010,12 @@
 	     run.last_event, run.path);
 	if (policy != 200) {
 		sleep_ms(event_ms);
-		snprintf(head, sizeof(head),
-			 "X-Attempt-Id: %s\r\nX-Response-Stamp: s.%s\r\n", id,
-			 id);
-		failed = answer_raw(c, policy, head, "", 0);
+		n = snprintf(head, sizeof(head),
+			     "HTTP/1.1 %d X\r\nContent-Length: 0\r\n"
+			     "X-Attempt-Id: %s\r\nX-Response-Stamp: s.%s\r\n"
+			     "\r\n",
+			     policy, id, id);
+		send_part(c, head, (size_t)n, &failed);
 		goto done;
 	}
 	n = snprintf(head, sizeof(head),
@@ -988,7 +1024,7 @@
 		     "X-Weight-Versions: %llu\r\n"
 		     "Transfer-Encoding: chunked\r\n\r\n",
 		     id, id, (unsigned long long)version);
-	send_all(c->fd, head, (size_t)n, &failed);
+	send_part(c, head, (size_t)n, &failed);
 	first = run.last_event < 0 ? 1 : run.last_event + 1;
 	for (int i = first; i <= output_events && !failed; i++) {
 		uint64_t newest;
@@ -1010,12 +1046,19 @@
 		version = newest;
 		failed = is_closed(c) || send_event(c, event);
 	}
-	send_all(c->fd, "0\r\n\r\n", 5, &failed);
+	send_part(c, "0\r\n\r\n", 5, &failed);
 done:
 	pthread_mutex_lock(&world_lock);
 	engine->running--;
 	kept->status = failed ? 0 : policy;
 	pthread_mutex_unlock(&world_lock);
+	if (c->copy && !failed) {
+		c->extra = c->copy;
+		c->extra_len = c->copy_len;
+	} else {
+		free(c->copy);
+	}
+	c->copy = NULL;
 	return failed ? -1 : 0;
 }
 
@@ -1044,7 +1087,18 @@
 
 	while (!read_message(c)) {
 		char expected[64], head[128];
-		int result;
+		int result, failed = 0;
+
+		if (c->extra) {
+			note("engine %s: an answer comes again, late, before "
+			     "that to %s: %.60s",
+			     engine->id, c->target,
+			     strstr(c->extra, "X-Attempt-Id"));
+			engine->extras++;
+			send_all(c->fd, c->extra, c->extra_len, &failed);
+			free(c->extra);
+			c->extra = NULL;
+		}
 
 		if (find_field(c->head, "X-Expect-Instance", expected,
 			       sizeof(expected)) &&
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -56,6 +56,7 @@
 	int last_event; /* as asked; -1: from the start */
 	int status; /* 200 whole, 500 and so on, 0 broken off */
 	int events; /* sent */
+	int planned; /* the status that the engine gives it */
 	char tenant[64];
 	char path[128];
 	uint64_t version; /* at its begin */
@@ -78,6 +79,9 @@
 	uint64_t highest_fence;
 	int running;
 	uint64_t beats;
+	double error_share; /* of its runs are answered 500 */
+	double extra_share; /* of its answers come again, late */
+	int extras;
 };
 
 struct answer {
