review: show a crashing request that is let through again

Cause: the refusal of a request that took engines down ends at all hosts at one moment, and losses without an answer are noticed only when the engines' entries go, seconds later.

--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -20,7 +20,7 @@
 
 #define TOPICS_MAX 160
 #define RUNS_MAX 200000
-#define RETENTION_S 300
+#define HEARTBEAT_MS 1200
 
 struct log_record {
 	char *data;
@@ -67,6 +67,8 @@
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 int (*run_policy)(const struct engine *engine, const char *id, const char *path,
 		  int attempt);
+const char *crashing_path;
+int64_t dark_ms = 4000;
 int event_ms = 20;
 int output_events = 12;
 int broken_count;
@@ -1062,6 +1064,39 @@
 	return failed ? -1 : 0;
 }
 
+static void *come_back(void *arg)
+{
+	struct engine *engine = arg;
+
+	sleep_ms(dark_ms);
+	pthread_mutex_lock(&world_lock);
+	for (struct connection *c = connections; c; c = c->next)
+		if (c->listener == engine->listener)
+			reset_later(c->fd);
+	snprintf(engine->id, sizeof(engine->id), "i-%08x", (unsigned)rand());
+	engine->born_ms = wall_ms();
+	engine->dark = 0;
+	pthread_mutex_unlock(&world_lock);
+	note("engine %d: back as %s", (int)(engine - engines), engine->id);
+	return NULL;
+}
+
+/* The engine's machine goes dark: its channels stay open and are silent. */
+static void go_dark(struct engine *engine)
+{
+	pthread_t thread;
+
+	pthread_mutex_lock(&world_lock);
+	engine->dark = 1;
+	for (struct connection *c = connections; c; c = c->next)
+		if (c->listener == engine->listener)
+			c->silent = 1;
+	pthread_mutex_unlock(&world_lock);
+	note("engine %s: dark", engine->id);
+	if (!pthread_create(&thread, NULL, come_back, engine))
+		pthread_detach(thread);
+}
+
 static int serve_plain(struct connection *c, struct engine *engine)
 {
 	char id[64], head[256];
@@ -1075,7 +1110,14 @@
 	pthread_mutex_lock(&world_lock);
 	add_run(&run);
 	pthread_mutex_unlock(&world_lock);
+	if (crashing_path && !strcmp(c->target, crashing_path)) {
+		note("engine %s: begins %s, %s", engine->id, id, c->target);
+		go_dark(engine);
+		return 0;
+	}
 	sleep_ms(25);
+	if (c->silent)
+		return 0;
 	snprintf(head, sizeof(head),
 		 "X-Attempt-Id: %s\r\nX-Response-Stamp: s.%s\r\n", id, id);
 	return answer_raw(c, 200, head, id, strlen(id));
@@ -1089,6 +1131,10 @@
 		char expected[64], head[128];
 		int result, failed = 0;
 
+		if (engine->dark || c->silent) {
+			c->silent = 1;
+			continue;
+		}
 		if (c->extra) {
 			note("engine %s: an answer comes again, late, before "
 			     "that to %s: %.60s",
@@ -1145,18 +1191,39 @@
 	put_keyed("keyed.servers", engine->id, value);
 }
 
+/* The store drops an entry after three intervals of silence. */
+static void drop_entry(struct engine *engine)
+{
+	put_keyed("keyed.servers", engine->entry_id, "");
+	note("store: the entry of %s has expired", engine->entry_id);
+	engine->entry_id[0] = '\0';
+}
+
 static void *beat(void *arg)
 {
 	struct engine *engine = arg;
 	uint64_t told = 0;
-	int64_t next = 0;
 
 	for (;;) {
-		if (engine->listed &&
-		    (now_ms() >= next || told != engine->version)) {
+		int64_t age_ms = now_ms() - engine->last_beat_ms;
+
+		if (engine->entry_id[0] && age_ms >= 3 * HEARTBEAT_MS)
+			drop_entry(engine);
+		if (engine->listed && !engine->dark &&
+		    (!engine->entry_id[0] ||
+		     strcmp(engine->entry_id, engine->id) != 0 ||
+		     age_ms >= HEARTBEAT_MS || told != engine->version)) {
+			/* A new lifetime leaves the old entry to expire. */
+			if (engine->entry_id[0] &&
+			    strcmp(engine->entry_id, engine->id) != 0) {
+				sleep_ms(3 * HEARTBEAT_MS - age_ms);
+				drop_entry(engine);
+			}
 			told = engine->version;
-			next = now_ms() + 1200;
 			write_entry(engine);
+			engine->last_beat_ms = now_ms();
+			snprintf(engine->entry_id, sizeof(engine->entry_id),
+				 "%s", engine->id);
 		}
 		pthread_mutex_lock(&world_lock);
 		finish_load(engine);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -82,6 +82,9 @@
 	double error_share; /* of its runs are answered 500 */
 	double extra_share; /* of its answers come again, late */
 	int extras;
+	char entry_id[32]; /* under which its entry stands; "": none */
+	int64_t last_beat_ms;
+	int dark; /* its machine answers nothing */
 };
 
 struct answer {
@@ -101,6 +104,9 @@
 /* Decides how a run of a model engine ends; NULL: all end whole. */
 extern int (*run_policy)(const struct engine *engine, const char *id,
 			 const char *path, int attempt);
+/* A plain service's engine that begins such a request goes dark. */
+extern const char *crashing_path;
+extern int64_t dark_ms; /* until it is back, with another id */
 extern int event_ms; /* between two events of a run */
 extern int output_events; /* of each item */
 
