--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -994,7 +994,9 @@
 	finish_load(engine);
 	if (engine->loading || engine->running >= engine->slots) {
 		pthread_mutex_unlock(&world_lock);
-		return answer_raw(c, 503, "X-Not-Run: 1\r\n", "", 0);
+		snprintf(head, sizeof(head),
+			 "X-Not-Run: 1\r\nX-Attempt-Id: %s\r\n", id);
+		return answer_raw(c, 503, head, "", 0);
 	}
 	run.version = version = engine->version;
 	if (run_policy)
@@ -1129,13 +1131,17 @@
 	struct engine *engine = &engines[listener->index];
 
 	while (!read_message(c)) {
-		char expected[64], head[128];
+		char expected[64], id[64], head[256];
 		int result, failed = 0;
 
 		if (engine->dark || c->silent) {
 			c->silent = 1;
 			continue;
 		}
+		if (c->extra && engine->extra_share <= 0) {
+			free(c->extra);
+			c->extra = NULL;
+		}
 		if (c->extra) {
 			note("engine %s: an answer comes again, late, before "
 			     "that to %s: %.60s",
@@ -1150,8 +1156,11 @@
 		if (find_field(c->head, "X-Expect-Instance", expected,
 			       sizeof(expected)) &&
 		    strcmp(expected, engine->id) != 0) {
-			snprintf(head, sizeof(head), "X-Instance-Id: %s\r\n",
-				 engine->id);
+			find_field(c->head, "X-Attempt-Id", id, sizeof(id));
+			snprintf(head, sizeof(head),
+				 "X-Instance-Id: %s\r\n%s%s%s", engine->id,
+				 id[0] ? "X-Attempt-Id: " : "", id,
+				 id[0] ? "\r\n" : "");
 			result = answer_raw(c, 421, head, "", 0);
 		} else if (!strcmp(c->target, "/v1/report")) {
 			result = serve_report(c, engine);
