proto: regenerate topic.pb-c.h

The comments of WeightNeed in topic.proto were changed without running make proto. Regenerate the header, so that the next change of the messages shows only itself. Comments alone differ.

--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -175,7 +175,7 @@
 
 
 /*
- * Topic keyed.weights, key: need/MODEL. What the batches of a model need, by
+ * Topic keyed.weights, key: need/MODEL/SERVICE. What the batches of a model need, by
  * the host that runs them.
  */
 struct  Currant__Topic__WeightNeed
@@ -183,22 +183,22 @@
   ProtobufCMessage base;
   char *model;
   /*
-   * of its newest batch
+   * highest of its open batches
    */
   uint64_t min_version;
   /*
-   * the newest one known then
+   * the newest one known to that batch
    */
   uint64_t named_version;
   /*
-   * of that batch, expected
+   * of the largest open batch, expected
    */
   uint64_t tokens;
   protobuf_c_boolean single_version;
   char *service;
   char *host;
   /*
-   * of that batch
+   * of the largest open batch
    */
   uint32_t items;
   /*
