batch: record and log the configuration of an acceptance

Callers see items of an accepted batch listed as dead_letter although their route is in force. The line of such an item says reason=no_route, which fits three causes: the daemon that runs the batch has an older configuration than the one that accepted it, it has a newer one without the route, or it has the route and doesn't find it.

Store the version of the configuration in the record of the acceptance (0 in records of older daemons), and log both versions with the age of what they were read by: config, accepted_config, config_age_ms and batch_age_ms of given_up.

--- a/batch/batch.c
+++ b/batch/batch.c
@@ -21,6 +21,7 @@
 	batch->retention_ms = accepted->retention_ms;
 	batch->max_attempts = accepted->max_attempts;
 	batch->single_version = accepted->single_version;
+	batch->config_version = accepted->config_version;
 	batch->items_position.offset = accepted->items_offset;
 	batch->items_position.records = accepted->items_records;
 	batch->items_position.runs = accepted->items_runs;
--- a/batch/batch.h
+++ b/batch/batch.h
@@ -61,6 +61,7 @@
 	uint32_t retention_ms;
 	uint32_t max_attempts;
 	int single_version;
+	uint64_t config_version; /* under which it was accepted; 0: unknown */
 	/* Of the records with submitted items. */
 	struct items_position items_position;
 	struct batch_item *items;
--- a/batch/batch_record.c
+++ b/batch/batch_record.c
@@ -189,6 +189,7 @@
 	accepted->retention_ms = acceptance->retention_ms;
 	accepted->max_attempts = acceptance->max_attempts;
 	accepted->single_version = acceptance->single_version;
+	accepted->config_version = acceptance->config_version;
 	accepted->items_offset = acceptance->items.offset;
 	accepted->items_records = acceptance->items.records;
 	accepted->items_runs = acceptance->items.runs;
--- a/batch/batch_record.h
+++ b/batch/batch_record.h
@@ -26,6 +26,7 @@
 	uint32_t retention_ms;
 	uint32_t max_attempts;
 	int single_version;
+	uint64_t config_version; /* of the configuration that has the route */
 	struct items_position items;
 	const char *by_host; /* host that accepts the batch */
 	uint64_t by_incarnation;
--- a/batch/batch_submission.c
+++ b/batch/batch_submission.c
@@ -267,6 +267,7 @@
 	acceptance->retention_ms = route->retention_ms;
 	acceptance->max_attempts = route->max_attempts;
 	acceptance->single_version = route->single_version;
+	acceptance->config_version = submission->api->config->current->version;
 	acceptance->by_host = submission->api->host;
 	acceptance->by_incarnation = submission->api->incarnation;
 }
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -225,13 +225,29 @@
 	return pending;
 }
 
+/* The configurations by which the item was accepted and given up. */
+static void put_configs(struct record *record,
+			const struct batch_runner *runner,
+			const struct batch *batch)
+{
+	const struct entry_config *config = runner->config->current;
+
+	record_int(record, "config", config ? (int64_t)config->version : -1);
+	record_int(record, "accepted_config", (int64_t)batch->config_version);
+	record_ms(record, "config_age_ms",
+		  runner_now_ns(runner) - runner->config->trust.confirmed_ns);
+	record_ms(record, "batch_age_ms",
+		  runner_now_ns(runner) - batch->applied_ns);
+}
+
 static void report_result(struct batch_runner *runner,
-			  const struct active_item *item, const char *event,
-			  const char *reason)
+			  const struct active_item *item,
+			  enum batch_item_state state, const char *reason)
 {
 	struct record record;
 
-	record_begin(&record, runner->log, "items", event);
+	record_begin(&record, runner->log, "items",
+		     state == BATCH_ITEM_COMPLETE ? "complete" : "given_up");
 	record_text(&record, "batch", item->owner->batch->id);
 	record_text(&record, "item", active_item_id(item));
 	record_int(&record, "events", item->output.last_event);
@@ -243,6 +259,8 @@
 	record_int(&record, "runs", item->attempt_count);
 	record_int(&record, "reward_calls", item->reward_calls);
 	record_text(&record, "reason", reason);
+	if (state == BATCH_ITEM_GIVEN_UP)
+		put_configs(&record, runner, item->owner->batch);
 	record_end(&record);
 }
 
@@ -255,9 +273,7 @@
 	pending->reason = reason;
 	active_item_set_state(item, ACTIVE_ITEM_STORING);
 	counter_add(runner->results, 1);
-	report_result(runner, item,
-		      state == BATCH_ITEM_COMPLETE ? "complete" : "given_up",
-		      reason);
+	report_result(runner, item, state, reason);
 	write_text(pending, &item->output, item->score ? item->score : "");
 }
 
--- a/proto/topic.pb-c.c
+++ b/proto/topic.pb-c.c
@@ -2069,7 +2069,7 @@
   (ProtobufCMessageInit) currant__topic__batch_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor currant__topic__batch_accepted__field_descriptors[19] =
+static const ProtobufCFieldDescriptor currant__topic__batch_accepted__field_descriptors[20] =
 {
   {
     "batch",
@@ -2299,12 +2299,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Currant__Topic__BatchAccepted, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned currant__topic__batch_accepted__field_indices_by_name[] = {
   1,   /* field[1] = accepted_ms */
   0,   /* field[0] = batch */
   16,   /* field[16] = by_host */
   17,   /* field[17] = by_incarnation */
+  19,   /* field[19] = config_version */
   9,   /* field[9] = due_ms */
   3,   /* field[3] = host */
   13,   /* field[13] = items */
@@ -2324,7 +2337,7 @@
 static const ProtobufCIntRange currant__topic__batch_accepted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor currant__topic__batch_accepted__descriptor =
 {
@@ -2334,7 +2347,7 @@
   "Currant__Topic__BatchAccepted",
   "currant.topic",
   sizeof(Currant__Topic__BatchAccepted),
-  19,
+  20,
   currant__topic__batch_accepted__field_descriptors,
   currant__topic__batch_accepted__field_indices_by_name,
   1,  currant__topic__batch_accepted__number_ranges,
--- a/proto/topic.pb-c.h
+++ b/proto/topic.pb-c.h
@@ -399,10 +399,14 @@
    */
   size_t n_items_runs;
   uint64_t *items_runs;
+  /*
+   * of the configuration that allowed it
+   */
+  uint64_t config_version;
 };
 #define CURRANT__TOPIC__BATCH_ACCEPTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&currant__topic__batch_accepted__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 struct  Currant__Topic__ItemResult
