batch: give up no item by an older configuration than its batch's

Callers see all items of an accepted batch listed as dead_letter, with an empty text and no run, although their route is in every configuration from its version on: the step is lost for good.

The daemon that runs the partition gives an item up once its own configuration has no route for it. It follows batches and configurations in two topics, and after failed reads it may know a batch up to some seconds before the configuration under which another daemon accepted it.

Judge a batch by its routes only once the configuration in force is as new as the one of its acceptance. The wait ends with the first complete read of the operators' records that began after the batch was read, as the store's answers are linearizable and that version was there by then: also where it cannot be decoded, or has been replaced by one without the route. If the store fails longer, the retention period or the caller's end of the batch ends it.

--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -52,6 +52,13 @@
 				  item->owner->batch->host, item->spec->path);
 }
 
+int runner_awaits_config(const struct batch_runner *runner,
+			 const struct batch *batch)
+{
+	return !config_holder_covers(runner->config, batch->config_version,
+				     batch->applied_ns);
+}
+
 int64_t runner_now_ns(const struct batch_runner *runner)
 {
 	return reactor_now_ns(runner->reactor);
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -13,6 +13,13 @@
 const struct entry_route *runner_route(const struct batch_runner *runner,
 				       const struct active_item *item);
 
+/*
+ * Whether this daemon has yet to read the configuration under which the batch
+ * was accepted. Its own one says nothing about the batch's routes until then.
+ */
+int runner_awaits_config(const struct batch_runner *runner,
+			 const struct batch *batch);
+
 int64_t runner_now_ns(const struct batch_runner *runner);
 
 /* Starts attempts of waiting items while engines have free slots. */
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -46,6 +46,10 @@
 /*
  * Gives up items without a route or past the batch's retention period, after
  * which no caller waits for them. Retries a failed load of the batch.
+ *
+ * A missing route says nothing while the configuration of the acceptance is
+ * awaited. That ends with the next complete read of the operators' records, and
+ * with the retention period or the end of the batch if the store fails longer.
  */
 static void check_batch(struct batch_runner *runner, struct active_batch *batch)
 {
@@ -53,6 +57,7 @@
 			 batch->batch->accepted_ms;
 	int is_over = batch->batch->retention_ms &&
 		      age_ms > batch->batch->retention_ms;
+	int awaits_config = runner_awaits_config(runner, batch->batch);
 
 	if (!batch->is_loaded) {
 		if (batch->load_at_ns &&
@@ -66,7 +71,7 @@
 		if (item->state == ACTIVE_ITEM_STORING ||
 		    item->state == ACTIVE_ITEM_DONE)
 			continue;
-		if (!is_over && runner_route(runner, item))
+		if (!is_over && (awaits_config || runner_route(runner, item)))
 			continue;
 		if (item->attempt)
 			runner_requeue(runner, item->attempt, "given_up");
--- a/entry/config_holder.c
+++ b/entry/config_holder.c
@@ -46,3 +46,17 @@
 		holder->changed(holder->arg, config);
 	return 1;
 }
+
+void config_holder_confirm(struct config_holder *holder, int64_t as_of_ns)
+{
+	key_trust_confirm(&holder->trust, as_of_ns);
+}
+
+int config_holder_covers(const struct config_holder *holder, uint64_t version,
+			 int64_t seen_ns)
+{
+	if (!holder->current)
+		return 0;
+	return holder->current->version >= version ||
+	       holder->trust.confirmed_ns > seen_ns;
+}
--- a/entry/config_holder.h
+++ b/entry/config_holder.h
@@ -28,4 +28,15 @@
 int config_holder_apply(struct config_holder *holder,
 			struct entry_config *config, int64_t now_ns);
 
+/* All versions that the store held at `as_of_ns` were read. */
+void config_holder_confirm(struct config_holder *holder, int64_t as_of_ns);
+
+/*
+ * Whether the configuration in force is as new as `version`, which a record
+ * that was read at `seen_ns` names. Once all that the store held at that time
+ * was read, there is nothing to wait for: that version cannot be decoded here.
+ */
+int config_holder_covers(const struct config_holder *holder, uint64_t version,
+			 int64_t seen_ns);
+
 #endif
--- a/t/lib-batch-host.cc
+++ b/t/lib-batch-host.cc
@@ -153,6 +153,11 @@
 	batch_runner_wake(&runner);
 }
 
+void BatchHost::confirm_config()
+{
+	config_holder_confirm(&config_, reactor_now_ns(&loop_->reactor));
+}
+
 void BatchHost::wait_ready()
 {
 	ASSERT_TRUE(loop_->run_until(
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -71,6 +71,8 @@
 	void configure(uint64_t version = 1, const std::string &extra = "",
 		       bool with_route = true,
 		       const std::string &reward_service = "r");
+	// All that the store holds of the configuration now was read.
+	void confirm_config();
 	void wait_ready();
 	uint16_t port() const // for callers
 	{
