batch: send no item by an older configuration than its batch's

After a route was moved or split, items of batches that were accepted under the new configuration run at the service that the route had before, at a daemon that reads the batch first; engines there load weights for them.

Place no items and tell no demand of such a batch until the configuration of its acceptance is read. config_awaited, config_read and batch_config_waits_total show the wait, which ends as before; a new configuration now wakes the placement at once.

--- a/batch/active_item.h
+++ b/batch/active_item.h
@@ -70,6 +70,7 @@
 	int reading_progress;
 	int is_loaded;
 	int64_t load_at_ns; /* when to retry a failed load; 0: not set */
+	int64_t awaited_since_ns; /* see runner_awaits_config(); 0: not */
 	struct active_item *items;
 	struct active_group *groups;
 	uint32_t group_count;
--- a/batch/batch_runner.c
+++ b/batch/batch_runner.c
@@ -52,13 +52,6 @@
 				  item->owner->batch->host, item->spec->path);
 }
 
-int runner_awaits_config(const struct batch_runner *runner,
-			 const struct batch *batch)
-{
-	return !config_holder_covers(runner->config, batch->config_version,
-				     batch->applied_ns);
-}
-
 int64_t runner_now_ns(const struct batch_runner *runner)
 {
 	return reactor_now_ns(runner->reactor);
@@ -383,6 +376,8 @@
 	runner->results = counter_get(counters, "item_results_total");
 	runner->attempts_moved = counter_get(counters, "item_runs_moved_total");
 	runner->reused_texts = counter_get(counters, "item_texts_reused_total");
+	runner->config_waits =
+		counter_get(counters, "batch_config_waits_total");
 }
 
 static void free_owned(struct owned_partition *owned)
--- a/batch/batch_runner.h
+++ b/batch/batch_runner.h
@@ -89,6 +89,7 @@
 	struct counter *results;
 	struct counter *attempts_moved;
 	struct counter *reused_texts;
+	struct counter *config_waits; /* batches that waited */
 	struct counter *rewards_sent;
 	struct counter *rewards_ended[REWARD_OUTCOMES]; /* by reward_outcome */
 	struct histogram reward_wait; /* from the complete text to its score */
--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -15,11 +15,16 @@
 
 /*
  * Whether this daemon has yet to read the configuration under which the batch
- * was accepted. Its own one says nothing about the batch's routes until then.
+ * was accepted. Its own one says nothing about the batch's routes until then:
+ * no item of the batch is given up for a missing route or sent anywhere.
  */
 int runner_awaits_config(const struct batch_runner *runner,
 			 const struct batch *batch);
 
+/* Reports when the wait for the batch's configuration begins or has ended. */
+void runner_watch_config(struct batch_runner *runner,
+			 struct active_batch *batch);
+
 int64_t runner_now_ns(const struct batch_runner *runner);
 
 /* Starts attempts of waiting items while engines have free slots. */
--- a/batch/runner_batches.c
+++ b/batch/runner_batches.c
@@ -156,6 +156,7 @@
 	if (listener)
 		batch->named_version = listener->vt->named_version(
 			listener, batch->batch->model);
+	runner_watch_config(runner, batch);
 	runner_publish_demand(runner, batch->owned, batch->batch->model);
 	start_items(runner, batch);
 	batch_runner_wake(runner);
--- a/batch/runner_demand.c
+++ b/batch/runner_demand.c
@@ -103,7 +103,8 @@
 {
 	memset(list, 0, sizeof(*list));
 	for (const struct active_batch *b = owned->batches; b; b = b->next)
-		if (b->is_loaded && !strcmp(b->batch->model, model))
+		if (b->is_loaded && !runner_awaits_config(runner, b->batch) &&
+		    !strcmp(b->batch->model, model))
 			add_to_list(runner, list, b);
 	for (uint32_t i = 0; i < list->count; i++)
 		list->demands[i].model = model;
--- a/batch/runner_place.c
+++ b/batch/runner_place.c
@@ -45,7 +45,7 @@
 	int64_t now_ns = runner_now_ns(runner);
 	uint32_t count = 0;
 
-	if (!batch->is_loaded)
+	if (!batch->is_loaded || runner_awaits_config(runner, batch->batch))
 		return 0;
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		struct active_item *item = &batch->items[i];
--- a/batch/runner_watch.c
+++ b/batch/runner_watch.c
@@ -57,7 +57,6 @@
 			 batch->batch->accepted_ms;
 	int is_over = batch->batch->retention_ms &&
 		      age_ms > batch->batch->retention_ms;
-	int awaits_config = runner_awaits_config(runner, batch->batch);
 
 	if (!batch->is_loaded) {
 		if (batch->load_at_ns &&
@@ -65,13 +64,15 @@
 			runner_load_batch(batch);
 		return;
 	}
+	runner_watch_config(runner, batch);
 	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		struct active_item *item = &batch->items[i];
 
 		if (item->state == ACTIVE_ITEM_STORING ||
 		    item->state == ACTIVE_ITEM_DONE)
 			continue;
-		if (!is_over && (awaits_config || runner_route(runner, item)))
+		if (!is_over &&
+		    (batch->awaited_since_ns || runner_route(runner, item)))
 			continue;
 		if (item->attempt)
 			runner_requeue(runner, item->attempt, "given_up");
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -51,6 +51,7 @@
 	daemon->caller_limits = config->limits;
 	entry_daemon_apply_limits(daemon);
 	cold_senders_update(&daemon->cold_senders);
+	batch_runner_wake(&daemon->batch_runner);
 }
 
 static void init_store(struct entry_daemon *daemon)
--- a/t/test-batch-configs.cc
+++ b/t/test-batch-configs.cc
@@ -139,3 +139,60 @@
 
 INSTANTIATE_TEST_SUITE_P(Until, AwaitedConfig,
 			 ::testing::ValuesIn(awaited_cases), awaited_name);
+
+namespace
+{
+
+struct SentCase {
+	const char *name;
+	const char *extra; // added to the route's object, as JSON
+	size_t at_new; // items at the new service, of 40
+};
+
+// Of the split, a fixed share that the items' ids decide.
+const SentCase sent_cases[] = {
+	{ "Moved", R"(,"service":"r")", 40 },
+	{ "Split",
+	  R"(,"split":[{"service":"s","weight":1},{"service":"r","weight":1}])",
+	  20 },
+};
+
+class SentByAwaitedConfig : public BatchConfigs,
+			    public ::testing::WithParamInterface<SentCase>
+{
+};
+
+std::string sent_name(const ::testing::TestParamInfo<SentCase> &info)
+{
+	return info.param.name;
+}
+
+} // namespace
+
+// Guards against items that run at the service that their route had before the
+// configuration under which their batch was accepted.
+TEST_P(SentByAwaitedConfig, GoToTheServicesOfTheAcceptance)
+{
+	const SentCase &c = GetParam();
+	Submission submission;
+	ReadAnswer answer;
+
+	submission.groups = 20;
+	add_engine("before", stream_reply(4), 1, 64);
+	add_engine("after", stream_reply(4), 1, 64);
+	engines_[1]->join(&owner_->fleet, "r", "m", 1, false, 64);
+	acceptor_->configure(2, c.extra);
+	ASSERT_EQ(202, acceptor_->submit(submission));
+	wait_watched(submission);
+	EXPECT_EQ(0u, engines_[0]->seen.size());
+	EXPECT_EQ(0u, engines_[1]->seen.size());
+	owner_->configure(2, c.extra);
+	ASSERT_TRUE(acceptor_->read_all(submission, &answer));
+	expect_complete(submission, answer, 4);
+	EXPECT_EQ(40u, engines_[0]->seen.size() + engines_[1]->seen.size());
+	EXPECT_NEAR((double)c.at_new, (double)engines_[1]->seen.size(),
+		    c.at_new == 40 ? 0 : 10);
+}
+
+INSTANTIATE_TEST_SUITE_P(Route, SentByAwaitedConfig,
+			 ::testing::ValuesIn(sent_cases), sent_name);
--- a/t/test-batch-demand.cc
+++ b/t/test-batch-demand.cc
@@ -199,3 +199,30 @@
 	EXPECT_EQ(3u, demands_.back()->seen.back().named_version);
 	EXPECT_EQ(20u, demands_.back()->seen.back().items);
 }
+
+// Guards against weights that are loaded at the service that a route had before
+// the configuration under which the batch was accepted by another host.
+TEST_F(BatchDemand, IsToldByTheConfigurationOfTheAcceptance)
+{
+	const char moved[] = R"(,"service":"r")";
+	BatchHost *owner = add_host("a");
+	DemandLog *told = demands_.back().get();
+	BatchHost *acceptor;
+	struct batch_partition *in;
+
+	ASSERT_EQ(202, owner->submit(step_of(1, 2)));
+	wait_for(1);
+	EXPECT_EQ(200, owner->end("v1"));
+	acceptor = add_host("b");
+	acceptor->configure(2, moved);
+	ASSERT_EQ(202, acceptor->submit(step_of(3, 10)));
+	ASSERT_TRUE(loop_.run_until(
+		[&] { return batch_set_find(&owner->set, "v3", &in); }));
+	loop_.run_for(300);
+	EXPECT_EQ(1u, told->seen.size());
+	owner->configure(2, moved);
+	ASSERT_TRUE(loop_.run_until([&] { return told->seen.size() > 1; }));
+	EXPECT_EQ("r", told->seen[1].service);
+	EXPECT_EQ(3u, told->seen[1].min_version);
+	EXPECT_EQ(20u, told->seen[1].items);
+}
