batch: send no reward call by an older configuration than its batch's

A daemon that takes over complete texts and has not read the configuration under which their batch was accepted calls the service that the route of the reward calls had before.

--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -16,7 +16,8 @@
 /*
  * Whether this daemon has yet to read the configuration under which the batch
  * was accepted. Its own one says nothing about the batch's routes until then:
- * no item of the batch is given up for a missing route or sent anywhere.
+ * no item of the batch is given up for a missing route, and neither an item
+ * nor a reward call is sent anywhere.
  */
 int runner_awaits_config(const struct batch_runner *runner,
 			 const struct batch *batch);
--- a/batch/runner_rewards.c
+++ b/batch/runner_rewards.c
@@ -204,8 +204,9 @@
 	int64_t now_ns = runner_now_ns(runner);
 	uint32_t count = 0;
 
-	for (uint32_t i = 0; batch->scoring && i < batch->batch->item_count;
-	     i++) {
+	if (!batch->scoring || runner_awaits_config(runner, batch->batch))
+		return 0;
+	for (uint32_t i = 0; i < batch->batch->item_count; i++) {
 		struct active_item *item = &batch->items[i];
 		const struct active_group *group = &batch->groups[item->group];
 
--- a/t/test-rewards.cc
+++ b/t/test-rewards.cc
@@ -415,3 +415,32 @@
 	expect_complete(submission_, answer, 5);
 	kill(host); // its connections are counted here
 }
+
+// Guards against reward calls to the service that their route had before the
+// configuration under which the batch was accepted, by a host that takes the
+// complete texts over before it has read that configuration.
+TEST_F(Rewards, GoByTheConfigurationOfTheAcceptance)
+{
+	BatchHost *first = add_host("a");
+	BatchHost *second;
+	FakeServer *before = add_scorer("before", ServerReply(), "r");
+	FakeServer *after = add_scorer("after", hang_reply(), "r2");
+	ReadAnswer answer;
+
+	add_engine("e", stream_reply(4));
+	first->configure(2, "", true, "r2");
+	ASSERT_EQ(202, first->submit(submission_));
+	ASSERT_TRUE(wait_all_scoring(first));
+	second = add_host("b");
+	first->leave();
+	ASSERT_TRUE(wait_all_scoring(second));
+	loop_.run_for(300);
+	EXPECT_EQ(0u, before->seen.size());
+	after->behaviour = [](const ServerSaw &) { return ServerReply(); };
+	second->configure(2, "", true, "r2");
+	ASSERT_TRUE(second->read_all(submission_, &answer));
+	expect_complete(submission_, answer, 4);
+	for (const ReadResult &result : answer.results)
+		EXPECT_EQ("after", result.score);
+	EXPECT_EQ(0u, before->seen.size());
+}
