entry: deny nothing for good while a newer configuration is known

A caller gets 404 or 401, after which it doesn't ask again, for a route, a key or a reward route that is in force, from a daemon that has not read it yet, although that daemon has read from the log that another one accepted a batch under a newer configuration.

Note the newest version that an acceptance names; until it is read, answer what the current one doesn't have with 503 config_behind. The wait is bounded as for batches: by the next complete read of the operators' records.

--- a/batch/batch_api.c
+++ b/batch/batch_api.c
@@ -1,7 +1,9 @@
 #include "batch/batch_api.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "batch/batch_call.h"
 #include "batch/batch_submission.h"
 
@@ -25,9 +27,31 @@
 
 static const struct batch_port_vtable port_vtable = { submit, call };
 
+static void on_accepted(struct batch_table_listener *base, struct batch *batch)
+{
+	struct acceptance_listener *listener =
+		(struct acceptance_listener *)base;
+
+	config_holder_note(listener->config, batch->config_version,
+			   batch->applied_ns);
+}
+
+static void listen_for_acceptances(struct batch_api *api)
+{
+	api->acceptances = xcalloc(api->set->count, sizeof(*api->acceptances));
+	for (uint32_t i = 0; i < api->set->count; i++) {
+		struct acceptance_listener *listener = &api->acceptances[i];
+
+		listener->base.accepted = on_accepted;
+		listener->config = api->config;
+		batch_table_add_listener(&api->set->partitions[i].table,
+					 &listener->base);
+	}
+}
+
 void batch_api_init(struct batch_api *api, struct reactor *reactor,
 		    struct batch_set *set, struct topic_log *store,
-		    const struct config_holder *config, struct record_log *log,
+		    struct config_holder *config, struct record_log *log,
 		    struct counter_set *counters, const char *host,
 		    uint64_t incarnation)
 {
@@ -47,6 +71,7 @@
 	api->reads = counter_get(counters, "batch_calls_total");
 	histogram_init(&api->accept_duration, counters,
 		       "batch_accept_duration_seconds", "");
+	listen_for_acceptances(api);
 }
 
 void batch_api_answer_waiting(struct batch_api *api)
@@ -64,4 +89,8 @@
 {
 	batch_submissions_finish(api);
 	batch_calls_finish(api);
+	for (uint32_t i = 0; i < api->set->count; i++)
+		batch_table_remove_listener(&api->set->partitions[i].table,
+					    &api->acceptances[i].base);
+	free(api->acceptances);
 }
--- a/batch/batch_api.h
+++ b/batch/batch_api.h
@@ -16,13 +16,20 @@
 struct batch_submission;
 struct batch_call;
 
+/* Notes the configurations under which batches of a partition were accepted. */
+struct acceptance_listener {
+	struct batch_table_listener base;
+	struct config_holder *config;
+};
+
 struct batch_api {
 	struct batch_port port;
+	struct acceptance_listener *acceptances; /* of each partition */
 	struct reactor *reactor;
 	struct batch_set *set;
 	struct topic_log *store;
 	struct record_log *log;
-	const struct config_holder *config;
+	struct config_holder *config;
 	const char *host;
 	uint64_t incarnation;
 	/* Estimated memory of the submissions in flight; 0: no limit. */
@@ -40,7 +47,7 @@
 
 void batch_api_init(struct batch_api *api, struct reactor *reactor,
 		    struct batch_set *set, struct topic_log *store,
-		    const struct config_holder *config, struct record_log *log,
+		    struct config_holder *config, struct record_log *log,
 		    struct counter_set *counters, const char *host,
 		    uint64_t incarnation);
 void batch_api_finish(struct batch_api *api);
--- a/batch/submission_check.c
+++ b/batch/submission_check.c
@@ -77,6 +77,12 @@
 int batch_submission_decode(struct batch_api *api, struct net_request *request,
 			    const char *batch, struct batch_draft *draft)
 {
+	const struct refusal behind = {
+		.status = 503,
+		.type = CONFIG_BEHIND,
+		.detail = CONFIG_BEHIND_DETAIL,
+		.retry_after_ns = CONFIG_BEHIND_RETRY_NS,
+	};
 	struct error err = ERROR_INIT;
 
 	if (platform_batch_decode(request->body.buf, request->body.len, draft,
@@ -86,6 +92,10 @@
 	if (!check_rewards(api, draft, &err))
 		return 0;
 	batch_draft_finish(draft);
+	if (config_holder_is_behind(api->config)) {
+		batch_submission_refuse(api, request, batch, &behind);
+		return -1;
+	}
 	return refuse_draft(api, request, batch, 404, "no_reward_route", &err);
 }
 
--- a/entry/answers.h
+++ b/entry/answers.h
@@ -31,6 +31,13 @@
 /* Retry, preferably at another host; this one may have read by then. */
 #define KEYS_UNCONFIRMED_RETRY_NS (300 * NS_PER_MS)
 
+/* Sent while a newer configuration than this host's is known to be in force. */
+#define CONFIG_BEHIND "config_behind"
+#define CONFIG_BEHIND_DETAIL                                                   \
+	"this host has not read the newest configuration yet"
+/* Reads of the configuration are repeated this often at the least. */
+#define CONFIG_BEHIND_RETRY_NS (300 * NS_PER_MS)
+
 /* Sent by a host that stops; its callers use another one at once. */
 #define HOST_LEAVING "leaving"
 #define HOST_LEAVING_DETAIL "this host is stopping; use another one"
--- a/entry/caller_port.c
+++ b/entry/caller_port.c
@@ -26,6 +26,8 @@
 	record_text(&record, "host_field", http_head_find(head, "Host"));
 	record_text(&record, "path", http_head_target(head));
 	record_int(&record, "config", config ? (int64_t)config->version : -1);
+	record_int(&record, "known_config",
+		   (int64_t)port->config->known_version);
 	record_end(&record);
 }
 
@@ -46,6 +48,18 @@
 	answer_refusal(request, &refusal);
 }
 
+/* Rejects for now what a newer configuration, if there is one, may allow. */
+static void deny_unknown(struct caller_port *port, struct net_request *request,
+			 const char *id, uint16_t status, const char *type,
+			 const char *detail)
+{
+	if (config_holder_is_behind(port->config))
+		deny(port, request, id, 503, CONFIG_BEHIND,
+		     CONFIG_BEHIND_DETAIL, CONFIG_BEHIND_RETRY_NS);
+	else
+		deny(port, request, id, status, type, detail, -1);
+}
+
 /*
  * Rejects the request if keys cannot be confirmed at present; returns 1 if it
  * did.
@@ -79,8 +93,8 @@
 		return -1;
 	if (*team)
 		return 0;
-	deny(port, request, caller->id, 401, "key_invalid",
-	     "the key is not known or was withdrawn", -1);
+	deny_unknown(port, request, caller->id, 401, "key_invalid",
+		     "the key is not known or was withdrawn");
 	return -1;
 }
 
@@ -93,8 +107,8 @@
 	const struct entry_team *team;
 
 	if (!route) {
-		deny(port, request, caller->id, 404, "no_route",
-		     "no route has this host and path", -1);
+		deny_unknown(port, request, caller->id, 404, "no_route",
+			     "no route has this host and path");
 		return;
 	}
 	if (check_key(port, request, caller, route->is_public, &team))
--- a/entry/config_holder.c
+++ b/entry/config_holder.c
@@ -60,3 +60,18 @@
 	return holder->current->version >= version ||
 	       holder->trust.confirmed_ns > seen_ns;
 }
+
+void config_holder_note(struct config_holder *holder, uint64_t version,
+			int64_t seen_ns)
+{
+	if (version <= holder->known_version)
+		return;
+	holder->known_version = version;
+	holder->known_ns = seen_ns;
+}
+
+int config_holder_is_behind(const struct config_holder *holder)
+{
+	return !config_holder_covers(holder, holder->known_version,
+				     holder->known_ns);
+}
--- a/entry/config_holder.h
+++ b/entry/config_holder.h
@@ -13,6 +13,8 @@
 	struct entry_config *current; /* NULL: none was read yet */
 	int64_t applied_ns;
 	struct key_trust trust; /* in the keys of `current` */
+	uint64_t known_version; /* newest one named by a record of the store */
+	int64_t known_ns; /* when that record was read */
 	struct record_log *log;
 	void (*changed)(void *arg, const struct entry_config *config);
 	void *arg;
@@ -39,4 +41,14 @@
 int config_holder_covers(const struct config_holder *holder, uint64_t version,
 			 int64_t seen_ns);
 
+/* A record of the store that was read at `seen_ns` names this version. */
+void config_holder_note(struct config_holder *holder, uint64_t version,
+			int64_t seen_ns);
+
+/*
+ * Whether a newer version is known to be in force that is not covered yet. What
+ * the current one does not have may exist, so that nothing is denied for good.
+ */
+int config_holder_is_behind(const struct config_holder *holder);
+
 #endif
--- a/t/lib-batch-host.cc
+++ b/t/lib-batch-host.cc
@@ -12,7 +12,7 @@
  "limits":{"max_header_bytes":4000,"max_body_bytes":1000000,
   "header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"red","api_keys":["k1"]},
-  {"name":"blue","api_keys":["k2"]}]})";
+  {"name":"blue","api_keys":["k2"]}%s]})";
 
 static const char route_template[] =
 	R"({"name":"batch","host":"h","path_prefix":"/b/","type":"rollout",
@@ -146,7 +146,7 @@
 			  reward_service + "\"}";
 	snprintf(text, sizeof(text), config_template,
 		 (unsigned long long)version, route, rewards.c_str(),
-		 service_fields.c_str());
+		 service_fields.c_str(), more_teams.c_str());
 	config = platform_config_decode(text, strlen(text), &err);
 	ASSERT_NE(nullptr, config) << err.text;
 	config_holder_apply(&config_, config, 0);
--- a/t/lib-batch-host.h
+++ b/t/lib-batch-host.h
@@ -67,7 +67,8 @@
 	// Applies a configuration; `extra` is added to the route. Reward calls
 	// under /score/ go to `reward_service`, or have no route if it is "".
 	// `service_fields` are added to the service of the items.
-	std::string service_fields;
+	// `more_teams` are added to the list of teams.
+	std::string service_fields, more_teams;
 	void configure(uint64_t version = 1, const std::string &extra = "",
 		       bool with_route = true,
 		       const std::string &reward_service = "r");
