--- a/t/test-weight-loads.cc
+++ b/t/test-weight-loads.cc
@@ -111,3 +111,24 @@
 	time_.run(1000);
 	EXPECT_EQ(before, orders());
 }
+
+// Guards against loads of a version that no batch needs any more, by a holder
+// of the duties that has read of a newer batch before it reads the announcement
+// of the version.
+TEST_F(WeightLoads, AreOfTheVersionThatTheNeedNames)
+{
+	DutyHost other(&time_, &topics_, &platform_, "b", 1, 0);
+
+	time_.run(2000);
+	ASSERT_TRUE(host_.holds());
+	host_.name_version("m", NAMED - 1);
+	other.name_version("m", NAMED);
+	other.publish_need("m", NAMED);
+	time_.run(8000);
+	EXPECT_EQ(6, orders()) << "each engine loads once";
+	for (const DutyCall &call : platform_.calls) {
+		if (call.kind != "weights")
+			continue;
+		EXPECT_EQ(NAMED, call.version);
+	}
+}
