batch: keep the text of a version that is not read yet

Texts of single-version batches are made anew after a change of their owner: the next one may not have read yet that their version was announced, nor that an engine has it, and then takes the version for gone.

A text's version was announced before any engine had it, so an owner that has not read the announcement knows nothing about the version. Count it as gone only after that. The wait ends when the operators' records are read, or as for all items with the batch's retention period or its end.

Batches.GoOnThoughTheirVersionIsNotReadYet fails without the change: the four runs begin at their first event again.

--- a/batch/runner_choice.c
+++ b/batch/runner_choice.c
@@ -136,13 +136,27 @@
 		       : server_entry_version(&server->entry, model);
 }
 
+/*
+ * Whether the trainer announced the version before this daemon last read the
+ * announcements. If not, the engines' entries read so far may be older, too.
+ */
+static int version_is_known(const struct batch_runner *runner,
+			    const char *model, uint64_t version)
+{
+	struct batch_demand_listener *listener = runner->demand_listener;
+
+	return !listener ||
+	       listener->vt->named_version(listener, model) >= version;
+}
+
 int runner_text_version_is_unavailable(const struct batch_runner *runner,
 				       const struct active_item *item,
 				       const char *service)
 {
 	const struct item_text *output = &item->output;
 
-	if (!item->owner->batch->single_version || !output->version_count)
+	if (!item->owner->batch->single_version || !output->version_count ||
+	    !version_is_known(runner, runner_model(item), output->versions[0]))
 		return 0;
 	for (struct fleet_server *s = runner->fleet->first; s; s = s->next)
 		if (fleet_server_is_open(s) &&
--- a/t/test-batch-versions.cc
+++ b/t/test-batch-versions.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "lib-batches.h"
+#include "lib-demand.h"
 
 extern "C" {
 #include "batch/batch_runner_private.h"
@@ -95,3 +96,44 @@
 		engines_.clear();
 	}
 }
+
+// Guards against texts that are made anew because the host that takes them over
+// has read neither the announcement of their version nor that an engine has it.
+TEST_F(Batches, GoOnThoughTheirVersionIsNotReadYet)
+{
+	const char alone[] = ",\"single_version\":true";
+	BatchHost *first = add_host("a");
+	FakeServer *engine = add_engine("e", stream_reply(8, 100, 4), 4);
+	BatchHost *second;
+	Submission submission;
+	ReadAnswer answer;
+	size_t seen;
+
+	first->configure(2, alone);
+	ASSERT_EQ(202, first->submit(submission));
+	ASSERT_TRUE(loop_.run_until([&] {
+		const struct item_attempt *a =
+			first->runner.attempt_owner.attempts;
+
+		while (a && a->item->output.last_event >= 2)
+			a = a->next;
+		return !a && engine->running == 4;
+	}));
+	second = add_host("b");
+	second->configure(2, alone);
+	engine->join(&second->fleet, "s", "m", 3);
+	DemandLog log(&second->runner);
+	log.named["m"] = 3;
+	seen = engine->seen.size();
+	first->leave();
+	ASSERT_TRUE(loop_.run_until([&] { return !log.seen.empty(); }));
+	loop_.run_for(300);
+	EXPECT_EQ(seen, engine->seen.size());
+	log.named["m"] = 4;
+	engine->join(&second->fleet, "s", "m", 4);
+	EXPECT_TRUE(second->read_all(submission, &answer));
+	expect_complete(submission, answer, 8);
+	for (size_t i = seen; i < engine->seen.size(); i++)
+		EXPECT_NE("", engine->seen[i].last_event);
+	second->runner.demand_listener = nullptr;
+}
