net: repeat no id on the connection that answered it

Callers see an item listed as dead_letter after two answers of 500 where its route allows three, when an engine sends an answer a second time, right before the next one on the connection. A failed item goes again at once, where the other engines are full to the same engine and over the same connection, and the copy of its first answer counts as the answer to its second run, as both echo the item's id.

Let a call name the hash of the id that its answer echoes, and take no idle connection whose last answer echoed it. Items and reward calls do; a single request is sent to one server once, or on a new connection.

--- a/batch/item_attempt.c
+++ b/batch/item_attempt.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 #include "platform/batch_codec.h"
 #include "platform/messages.h"
 
@@ -295,6 +296,7 @@
 	attempt->net.address = engine->server->entry.address;
 	attempt->net.head = attempt->head.buf;
 	attempt->net.head_len = attempt->head.len;
+	attempt->net.id_hash = hash_text(item->spec->id, 0);
 	attempt->net.body = item->spec->body.data;
 	attempt->net.body_len = item->spec->body.len;
 	net_call_start(start->pool, &attempt->net);
--- a/batch/reward_call.c
+++ b/batch/reward_call.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/hash.h"
 #include "platform/batch_codec.h"
 #include "platform/messages.h"
 
@@ -144,6 +145,7 @@
 	call->net.address = server->entry.address;
 	call->net.head = call->head.buf;
 	call->net.head_len = call->head.len;
+	call->net.id_hash = hash_text(request_of(call)->id, 0);
 	call->net.body = request_of(call)->body.data;
 	call->net.body_len = request_of(call)->body.len;
 	net_call_start(pool, &call->net);
--- a/net/net_client.c
+++ b/net/net_client.c
@@ -46,6 +46,7 @@
 	uint64_t skipped_bytes; /* of the bodies of skipped answers */
 	int close_after;
 	int64_t idle_since_ns;
+	uint64_t answered_id_hash; /* of the last call */
 	struct net_link *next; /* in the target's list of idle links */
 	struct net_link **at; /* the pointer to this link; NULL: not idle */
 };
@@ -178,6 +179,7 @@
 	struct evbuffer *out = bufferevent_get_output(link->bev);
 
 	link->call = NULL;
+	link->answered_id_hash = call->id_hash;
 	call->link = NULL;
 	call->answer = NULL;
 	/*
@@ -404,6 +406,8 @@
 {
 	struct net_link *link = target->idle;
 
+	while (link && call->id_hash && link->answered_id_hash == call->id_hash)
+		link = link->next;
 	if (!link || call->no_reuse)
 		return NULL;
 	if (call->max_idle_ns &&
--- a/net/net_client.h
+++ b/net/net_client.h
@@ -52,6 +52,12 @@
 	int is_head_method;
 	int no_reuse; /* do not reuse an idle connection */
 	int64_t max_idle_ns; /* of a reused connection; 0: no limit */
+	/*
+	 * Of the id that the answer echoes; 0: none. The call takes no idle
+	 * connection whose last answer echoed the same id: a second copy of it
+	 * may still come there, and nothing else tells the two apart.
+	 */
+	uint64_t id_hash;
 
 	/* Set while the call is in flight. */
 	const struct http_head *answer; /* valid in on_head() and on_body() */
--- a/t/test-net-client.cc
+++ b/t/test-net-client.cc
@@ -397,6 +397,28 @@
 	EXPECT_EQ(2, server.accepted());
 }
 
+// A copy of an answer may come late, and a repeated request echoes the same id.
+TEST_F(NetClient, RepeatsNoIdOnTheConnectionThatAnsweredIt)
+{
+	ScriptedServer server({ { { ok("1"), ok("3") }, KEEP },
+				{ { ok("2"), ok("4") }, KEEP } });
+	const struct {
+		uint64_t id_hash;
+		bool reused;
+	} calls[] = { { 7, false }, { 7, false }, { 8, true } };
+
+	for (const auto &c : calls) {
+		TestCall call = {};
+
+		call.net.id_hash = c.id_hash;
+		start(&call, server.address());
+		ASSERT_TRUE(finish(&call, &server));
+		EXPECT_EQ(c.reused, call.net.reused != 0);
+		EXPECT_EQ(NET_ANSWERED, call.outcome);
+	}
+	EXPECT_EQ(2, server.accepted());
+}
+
 TEST_F(NetClient, ClosesAKeptConnectionThatBringsBytes)
 {
 	ScriptedServer server({ { { ok("1") }, KEEP } });
