forward: let one attempt through after a rejection for crashes

A request that takes down each server that begins it reaches more of them than it may: when its rejection is over, all hosts let it through for any number of attempts until the first loss is known, 3 to 4 s later where servers end in silence.

Let a host that sends such a request say so in its published list of crashes. All hosts reject it until it is answered, did not run or has taken down its server, for 10 s at the most.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -117,6 +117,31 @@
 	return refused_ms * NS_PER_MS;
 }
 
+void crash_watch_note_sent(struct crash_watch *watch, uint64_t request,
+			   const char *id, const char *server)
+{
+	const struct crash probe = {
+		.request = request,
+		.server = CRASH_PROBED,
+		.at_ms = now_ms(watch),
+	};
+	struct crash_tally tally;
+
+	crash_board_tally(board_of(watch), request, probe.at_ms, &tally);
+	if (crash_tally_count(&tally) < CRASHES_TO_REJECT)
+		return;
+	crash_board_add(board_of(watch), &probe);
+	log_event(watch, "let_through", request, id, server,
+		  crash_tally_count(&tally), NULL);
+	discovery_publish_crashes(watch->discovery);
+}
+
+void crash_watch_note_not_run(struct crash_watch *watch, uint64_t request)
+{
+	if (crash_list_end_probe(&board_of(watch)->own, request))
+		discovery_publish_crashes(watch->discovery);
+}
+
 void crash_watch_note_crash(struct crash_watch *watch, uint64_t request,
 			    const char *id, const char *server)
 {
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -49,6 +49,16 @@
 int64_t crash_watch_refuses_ns(const struct crash_watch *watch,
 			       uint64_t request, const char *id);
 
+/*
+ * The request is sent to the server. If it was rejected before, all hosts
+ * reject it until its outcome is known.
+ */
+void crash_watch_note_sent(struct crash_watch *watch, uint64_t request,
+			   const char *id, const char *server);
+
+/* The attempt did not run, so that another one may be let through. */
+void crash_watch_note_not_run(struct crash_watch *watch, uint64_t request);
+
 /*
  * Records a suspected crash: the server exited, or the connection broke off,
  * during an attempt that got no answer.
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -53,6 +53,17 @@
 	       key_trust_holds(&config->trust, forward_now_ns(forward));
 }
 
+/* Of a request that was rejected for crashes, one attempt runs at a time. */
+static void note_sent(const struct forward *forward,
+		      const struct fleet_server *server)
+{
+	struct crash_watch *watch = forward->forwarder->crashes;
+
+	if (watch && !crash_watch_is_idle(watch))
+		crash_watch_note_sent(watch, forward_hash(forward),
+				      forward->caller.id, server->entry.id);
+}
+
 /* Starts an attempt at a server not tried yet; returns 0 if there is none. */
 static int start_next_attempt(struct forward *forward)
 {
@@ -65,6 +76,7 @@
 	if (!server)
 		return 0;
 	forward_note_tried(forward, server->entry.id);
+	note_sent(forward, server);
 	forward->sent++;
 	forward_attempt_start(forward, server, 0);
 	return 1;
--- a/forward/forward_attempt.c
+++ b/forward/forward_attempt.c
@@ -153,6 +153,9 @@
 		crash_watch_note_answer(watch, forward_hash(forward),
 					forward->caller.id,
 					attempt->server->entry.id);
+	else if ((outcome == ATTEMPT_NOT_RUN || outcome == ATTEMPT_NOT_SENT) &&
+		 !crash_watch_is_idle(watch))
+		crash_watch_note_not_run(watch, forward_hash(forward));
 }
 
 static void log_attempt_end(const struct forward_attempt *attempt,
--- a/policy/crash_list.c
+++ b/policy/crash_list.c
@@ -9,7 +9,14 @@
 
 static int is_recent(const struct crash *crash, int64_t now_ms)
 {
-	return now_ms - crash->at_ms < CRASH_RETENTION_MS;
+	return now_ms - crash->at_ms < (crash->server == CRASH_PROBED
+						? CRASH_PROBE_MS
+						: CRASH_RETENTION_MS);
+}
+
+static int is_loss(const struct crash *crash)
+{
+	return crash->server != CRASH_ANSWERED && crash->server != CRASH_PROBED;
 }
 
 /* Whether both entries record the same loss of a server. */
@@ -76,6 +83,8 @@
 int crash_list_add(struct crash_list *list, const struct crash *crash,
 		   const struct crash_reporter *others)
 {
+	if (crash->server == CRASH_PROBED)
+		crash_list_end_probe(list, crash->request);
 	for (uint32_t i = 0; i < list->count; i++)
 		if (is_same_crash(&list->crashes[i], crash))
 			return 0;
@@ -99,6 +108,21 @@
 	return list->count < before;
 }
 
+int crash_list_end_probe(struct crash_list *list, uint64_t request)
+{
+	uint32_t before = list->count;
+	uint32_t i = 0;
+
+	while (i < list->count) {
+		if (list->crashes[i].request == request &&
+		    list->crashes[i].server == CRASH_PROBED)
+			remove_at(list, i);
+		else
+			i++;
+	}
+	return list->count < before;
+}
+
 void crash_list_prune(struct crash_list *list, int64_t now_ms)
 {
 	uint32_t i = 0;
@@ -118,7 +142,7 @@
 
 	for (uint32_t i = 0; i < list->count; i++)
 		count += list->crashes[i].request == request &&
-			 list->crashes[i].server != CRASH_ANSWERED &&
+			 is_loss(&list->crashes[i]) &&
 			 is_recent(&list->crashes[i], now_ms);
 	return count;
 }
@@ -140,6 +164,7 @@
 	tally->request = request;
 	tally->now_ms = now_ms;
 	tally->answered_ms = INT64_MIN;
+	tally->probed_ms = INT64_MIN;
 }
 
 /* Inserts in order of time; a full tally drops its oldest crash. */
@@ -166,6 +191,11 @@
 	tally->crashes[at] = *crash;
 }
 
+static int64_t max_ms(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
 void crash_tally_add(struct crash_tally *tally, const struct crash_list *list)
 {
 	for (uint32_t i = 0; i < list->count; i++) {
@@ -174,10 +204,14 @@
 		if (crash->request != tally->request ||
 		    !is_recent(crash, tally->now_ms))
 			continue;
-		if (crash->server != CRASH_ANSWERED)
+		if (is_loss(crash))
 			tally_insert(tally, crash);
-		else if (crash->at_ms > tally->answered_ms)
-			tally->answered_ms = crash->at_ms;
+		else if (crash->server == CRASH_PROBED)
+			tally->probed_ms =
+				max_ms(tally->probed_ms, crash->at_ms);
+		else
+			tally->answered_ms =
+				max_ms(tally->answered_ms, crash->at_ms);
 	}
 }
 
@@ -207,6 +241,19 @@
 	       CRASH_REFUSAL_FIRST_MS;
 }
 
+/* Retry-after while an attempt is let through whose outcome is not known. */
+static int64_t probe_left_ms(const struct crash_tally *tally)
+{
+	int64_t left_ms;
+
+	if (tally->probed_ms == INT64_MIN)
+		return 0;
+	left_ms = tally->probed_ms + CRASH_PROBE_MS - tally->now_ms;
+	if (left_ms <= 0)
+		return 0;
+	return left_ms < CRASH_PROBE_RETRY_MS ? left_ms : CRASH_PROBE_RETRY_MS;
+}
+
 int64_t crash_tally_refused_ms(const struct crash_tally *tally)
 {
 	int64_t refusal_ms = CRASH_REFUSAL_FIRST_MS;
@@ -222,5 +269,5 @@
 		refusal_ms = CRASH_REFUSAL_MAX_MS;
 	left_ms = tally->crashes[tally->count - 1].at_ms + refusal_ms -
 		  tally->now_ms;
-	return left_ms > 0 ? left_ms : 0;
+	return left_ms > 0 ? left_ms : probe_left_ms(tally);
 }
--- a/policy/crash_list.h
+++ b/policy/crash_list.h
@@ -11,7 +11,10 @@
  * keyed by a hash of the request; the lists of all hosts together decide
  * whether it is rejected for a while. A successful response clears the request;
  * an error response does not, because servers give one without running the
- * request. Pure functions with bounded memory.
+ * request. After a rejection one attempt is let through at a time, at all hosts
+ * together: the loss of its server may be known only seconds later, and until
+ * then every further attempt could take down another one. Pure functions with
+ * bounded memory.
  */
 #define CRASH_LIST_MAX 64
 
@@ -37,13 +40,24 @@
  */
 #define CRASH_DEDUP_WINDOW_MS 500
 
+/* Longer than it takes until the silent loss of a server is known. */
+#define CRASH_PROBE_MS 10000
+/* Retry-after meanwhile: the answer may come at once. */
+#define CRASH_PROBE_RETRY_MS 500
+
 /* Value of `server` for a request that was answered. */
 #define CRASH_ANSWERED 0
+/* Likewise, for one that is let through after a rejection. */
+#define CRASH_PROBED UINT64_MAX
 
-/* A server was lost while it ran a request, or the request was answered. */
+/*
+ * A server was lost while it ran a request, or the request was answered or let
+ * through.
+ */
 struct crash {
 	uint64_t request; /* hash of the request */
-	uint64_t server; /* hash of the server's id, or CRASH_ANSWERED */
+	/* Hash of the server's id, CRASH_ANSWERED or CRASH_PROBED. */
+	uint64_t server;
 	int64_t at_ms; /* wall clock of the reporting host */
 };
 
@@ -71,6 +85,9 @@
 /* The request was answered; returns whether it was listed. */
 int crash_list_clear(struct crash_list *list, uint64_t request);
 
+/* The attempt let through did not run; returns whether it was listed. */
+int crash_list_end_probe(struct crash_list *list, uint64_t request);
+
 /* Removes expired crashes. */
 void crash_list_prune(struct crash_list *list, int64_t now_ms);
 
@@ -90,6 +107,7 @@
 	struct crash crashes[CRASH_TALLY_MAX]; /* the newest, oldest first */
 	uint32_t count;
 	int64_t answered_ms; /* crashes up to then are ignored */
+	int64_t probed_ms; /* the newest attempt that was let through */
 };
 
 void crash_tally_init(struct crash_tally *tally, uint64_t request,
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -203,6 +203,16 @@
 		crash_watch_note_crash(&watch, request, "id", server);
 	}
 
+	void sent(uint64_t request)
+	{
+		crash_watch_note_sent(&watch, request, "id", "server");
+	}
+
+	void not_run(uint64_t request)
+	{
+		crash_watch_note_not_run(&watch, request);
+	}
+
 	void answered(uint64_t request)
 	{
 		crash_watch_note_answer(&watch, request, "id", "server");
@@ -451,3 +461,85 @@
 			EXPECT_GT(host->refuses_ms(request), 0);
 	}
 }
+
+namespace
+{
+
+struct ProbeCase {
+	const char *name;
+	// What happens to the attempt that host 0 lets through.
+	void (*happens)(Host *host, uint64_t request);
+	int64_t wait_ms; // afterwards
+	bool refused; // at all hosts then
+};
+
+void stay_unknown(Host *, uint64_t)
+{
+}
+
+void answer(Host *host, uint64_t request)
+{
+	host->answered(request);
+}
+
+void reject(Host *host, uint64_t request)
+{
+	host->not_run(request);
+}
+
+void lose_server(Host *host, uint64_t request)
+{
+	host->crash(request, "s4");
+}
+
+const ProbeCase probe_cases[] = {
+	{ "not known yet", stay_unknown, 100, true },
+	{ "its server's entry would have expired", stay_unknown, 4000, true },
+	{ "never known", stay_unknown, CRASH_PROBE_MS + 100, false },
+	{ "answered", answer, 100, false },
+	{ "not run", reject, 100, false },
+	{ "takes down its server", lose_server, CRASH_REFUSAL_FIRST_MS, true },
+};
+
+} // namespace
+
+// Guards against a request that takes down servers in silence and, when its
+// rejection is over, reaches more of them at each host until the first loss is
+// known.
+TEST_F(Crashes, LetOneAttemptThroughAtATime)
+{
+	uint64_t request = 6;
+
+	for (const ProbeCase &c : probe_cases) {
+		SCOPED_TRACE(c.name);
+
+		request++;
+		for (const char *server : { "s1", "s2", "s3" })
+			hosts_[1]->crash(request, server);
+		time_.run(CRASH_REFUSAL_FIRST_MS + 100);
+		for (auto &host : hosts_)
+			EXPECT_EQ(0, host->refuses_ms(request));
+		hosts_[0]->sent(request);
+		EXPECT_GT(hosts_[0]->refuses_ms(request), 0);
+		time_.run(100);
+		for (auto &host : hosts_)
+			EXPECT_EQ(CRASH_PROBE_RETRY_MS,
+				  host->refuses_ms(request));
+		c.happens(hosts_[0].get(), request);
+		time_.run(c.wait_ms);
+		for (auto &host : hosts_)
+			EXPECT_EQ(c.refused, host->refuses_ms(request) > 0);
+	}
+}
+
+// A request that was never rejected is not held back.
+TEST_F(Crashes, BelowTheLimitLetAllAttemptsThrough)
+{
+	hosts_[1]->crash(7, "s1");
+	hosts_[1]->crash(7, "s2");
+	time_.run(100);
+	hosts_[0]->sent(7);
+	time_.run(100);
+	for (auto &host : hosts_)
+		EXPECT_EQ(0, host->refuses_ms(7));
+}
--- a/t/test-forward-crashes.cc
+++ b/t/test-forward-crashes.cc
@@ -295,3 +295,33 @@
 	EXPECT_EQ(200, status(answer));
 	EXPECT_EQ(503, status(ask(request("/o/bad"))));
 }
+
+// Guards against the second attempt and the next callers of a request that was
+// rejected, while nobody knows whether the first attempt takes down its server.
+TEST_F(Forward, LetsOneAttemptThroughAfterARejection)
+{
+	Crashes crashes(&loop_, &fleet_, &counters_);
+	RawCaller caller(net_server_port(&server_));
+	int64_t over_ms = clock_wall_ms(&loop_.reactor.clock) -
+			  CRASH_REFUSAL_FIRST_MS - 1000;
+
+	configure();
+	forwarder_.crashes = &crashes.watch;
+	for (const char *id : { "a", "b" })
+		add(id, hang_reply());
+	for (uint64_t server : { 11, 12, 13 }) {
+		const struct crash crash = { hash_of("/i/bad"), server,
+					     over_ms };
+
+		crash_board_add(&crashes.discovery.crashes, &crash);
+	}
+	caller.send(request("/i/bad"));
+	ASSERT_TRUE(loop_.run_until([&] { return received() == 1; }));
+	EXPECT_EQ(503, status(ask(request("/i/bad"))));
+	ASSERT_TRUE(loop_.run_until(
+		[&] { return http_is_whole(caller.received()); }));
+	EXPECT_EQ(504, status(caller.received()));
+	EXPECT_EQ(503, status(ask(request("/i/bad"))));
+	EXPECT_EQ(1, received());
+	forwarder_.crashes = nullptr;
+}
