batch: accept no evicted batch again

Items of a batch run after its caller has ended it: an ended batch is evicted 10 s after its results may be read, and a repeated acceptance that stands behind its end in the log is a new batch for a daemon that reads on from there when it takes the partition over.

Keep the hash of the id of an evicted batch for as long as the log may hold a repeat, the time for which done batches are kept.

BatchTable.AcceptsNoEvictedBatchAgain fails without the check in apply_accepted().

--- a/batch/batch_table.c
+++ b/batch/batch_table.c
@@ -1,5 +1,6 @@
 #include "batch/batch_table.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
@@ -64,10 +65,48 @@
 	batch_free(batch);
 }
 
+/* Forgets the evicted batches that were accepted before this time. */
+static void drop_evicted(struct batch_table *table, int64_t before_ms)
+{
+	struct evicted_batch **at = &table->evicted;
+
+	while (*at) {
+		struct evicted_batch *evicted = *at;
+
+		if (evicted->accepted_ms >= before_ms) {
+			at = &evicted->next;
+			continue;
+		}
+		*at = evicted->next;
+		free(evicted);
+	}
+}
+
+static void add_evicted(struct batch_table *table, const struct batch *batch)
+{
+	struct evicted_batch *evicted = xcalloc(1, sizeof(*evicted));
+
+	evicted->id_hash = hash_text(batch->id, 0);
+	evicted->accepted_ms = batch->accepted_ms;
+	evicted->next = table->evicted;
+	table->evicted = evicted;
+}
+
+static int was_evicted(const struct batch_table *table, const char *id)
+{
+	uint64_t id_hash = hash_text(id, 0);
+	const struct evicted_batch *evicted = table->evicted;
+
+	while (evicted && evicted->id_hash != id_hash)
+		evicted = evicted->next;
+	return evicted != NULL;
+}
+
 void batch_table_finish(struct batch_table *table)
 {
 	struct batch *batch = table->oldest;
 
+	drop_evicted(table, INT64_MAX);
 	while (batch) {
 		struct batch *newer = batch->newer;
 
@@ -93,7 +132,7 @@
 
 /*
  * Takes ownership of the record and returns 1, unless the batch is empty or
- * its id was accepted before.
+ * its id was accepted before, also by a batch that has ended and was evicted.
  */
 static int apply_accepted(struct batch_table *table,
 			  Currant__Topic__BatchRecord *record, int64_t now_ns)
@@ -101,7 +140,8 @@
 	struct batch *batch;
 
 	if (!record->accepted->n_items ||
-	    batch_table_find(table, record->accepted->batch))
+	    batch_table_find(table, record->accepted->batch) ||
+	    was_evicted(table, record->accepted->batch))
 		return 0;
 	batch = batch_new(record, now_ns);
 	append_batch(table, batch);
@@ -217,13 +257,18 @@
 {
 	struct batch *batch = table->oldest;
 
+	drop_evicted(table, done_before_ms);
 	while (batch) {
 		struct batch *newer = batch->newer;
+		int is_old = batch->accepted_ms < done_before_ms;
 
-		if ((batch->ended && batch->accepted_ms < ended_before_ms) ||
-		    (batch_is_done(batch) &&
-		     batch->accepted_ms < done_before_ms))
+		if (batch->ended && batch->accepted_ms < ended_before_ms) {
+			if (!is_old)
+				add_evicted(table, batch);
+			remove_batch(table, batch);
+		} else if (batch_is_done(batch) && is_old) {
 			remove_batch(table, batch);
+		}
 		batch = newer;
 	}
 }
--- a/batch/batch_table.h
+++ b/batch/batch_table.h
@@ -32,11 +32,19 @@
 	struct batch_table_listener *next;
 };
 
+/* An ended batch that was evicted while the log may still hold a repeat. */
+struct evicted_batch {
+	uint64_t id_hash;
+	int64_t accepted_ms; /* wall clock */
+	struct evicted_batch *next;
+};
+
 struct batch_table {
 	struct batch *buckets[BATCH_TABLE_BUCKETS];
 	struct batch *oldest;
 	struct batch *newest;
 	uint32_t count;
+	struct evicted_batch *evicted;
 	struct batch_table_listener *listeners;
 	/* Host that runs the items; "": none. */
 	char owner[BATCH_HOST_BYTES];
@@ -62,7 +70,9 @@
 /*
  * Evicts ended batches that were accepted before `ended_before_ms`, and done
  * batches (see batch_is_done()) that were accepted before `done_before_ms`.
- * Both times are wall clock.
+ * Both times are wall clock. The id of an ended batch is not accepted again
+ * before the second time, as the log may hold a repeated acceptance behind its
+ * end.
  */
 void batch_table_evict(struct batch_table *table, int64_t ended_before_ms,
 		       int64_t done_before_ms);
--- a/t/test-batch-table.cc
+++ b/t/test-batch-table.cc
@@ -254,6 +254,27 @@
 	EXPECT_NE(nullptr, batch_table_find(&table_, "open"));
 }
 
+// Guards against a batch that runs after its end: a repeated acceptance stands
+// behind the end in the log, and the daemon that reads it when it takes the
+// partition over has evicted the batch.
+TEST_F(BatchTable, AcceptsNoEvictedBatchAgain)
+{
+	apply({ accepted_record("b", { "x" }), end_record("b") });
+	batch_table_evict(&table_, 1, 0);
+	ASSERT_EQ(0u, table_.count);
+	recorder_.events.clear();
+	apply({ accepted_record("b", { "x" }) });
+	EXPECT_EQ(0u, table_.count);
+	EXPECT_EQ(std::vector<std::string>(), recorder_.events);
+	apply({ accepted_record("other", { "x" }) });
+	EXPECT_EQ(1u, table_.count);
+	/* The log keeps no repeat for longer. */
+	batch_table_evict(&table_, 1, 1);
+	EXPECT_EQ(nullptr, table_.evicted);
+	apply({ accepted_record("b", { "x" }) });
+	EXPECT_EQ(2u, table_.count);
+}
+
 // Guards against state that depends on anything but the log: two tables apply
 // the same random records at different times and must report the same events
 // and the same owner.
