duty: begin anew where records of usage were dropped

The platform accepts a second usage report with other counts for a window: a host that holds the duties again after longer than the store keeps records has missed the records with which others closed windows, and closes those windows once more.

Let a topic's follower tell that records were dropped before they were read, and let the ledger forget its windows then, as a new process knows none.

Duties.ReportNoWindowAgainWhoseRecordsWereDropped fails without the call of usage_ledger_forget(): the stand-in of the platform gets other counts for the same windows.

--- a/duty/usage_duty.c
+++ b/duty/usage_duty.c
@@ -32,10 +32,6 @@
 	usage_ledger_apply(&duty_from_follower(follower)->ledger, data, len);
 }
 
-static const struct topic_follower_vtable follower_vtable = {
-	.apply = on_apply,
-};
-
 static int is_active(struct usage_duty *duty)
 {
 	return !duty->fenced && duty_lease_holds(duty->lease);
@@ -53,6 +49,35 @@
 	       duty->window_s;
 }
 
+/*
+ * Before this host gained the lease, other holders closed windows in the
+ * records that were dropped. Those that are still open after the records that
+ * are left are newer than all of them. Afterwards nobody else closes windows.
+ */
+static void on_skipped(struct topic_follower *follower, uint64_t from,
+		       uint64_t to)
+{
+	struct usage_duty *duty = duty_from_follower(follower);
+	struct record record;
+
+	record_begin(&record, duty->log, "usage", "skipped");
+	record_int(&record, "from", (int64_t)from);
+	record_int(&record, "to", (int64_t)to);
+	record_int(&record, "closed_before",
+		   (int64_t)duty->ledger.closed_before);
+	record_end(&record);
+	if (!duty->ledger_unread)
+		return;
+	usage_ledger_forget(&duty->ledger);
+	if (duty->first_window)
+		duty->first_window = current_window(duty);
+}
+
+static const struct topic_follower_vtable follower_vtable = {
+	.apply = on_apply,
+	.skipped = on_skipped,
+};
+
 static int64_t window_age_ms(const struct usage_duty *duty, uint64_t window)
 {
 	return clock_wall_ms(duty->timers->clock) -
@@ -206,6 +231,7 @@
 	duty->ledger_stale = !ok;
 	if (!ok || !is_active(duty))
 		return;
+	duty->ledger_unread = 0;
 	usage_ledger_prune(&duty->ledger,
 			   current_window(duty) - RETAINED_WINDOWS);
 	gauge_set(duty->late_requests, (int64_t)duty->ledger.late_requests);
@@ -249,6 +275,7 @@
 	timer_subscribe(duty->timers, &duty->timer, TICK_NS, on_tick, duty);
 	/* Read which windows other hosts closed but did not report. */
 	duty->ledger_stale = 1;
+	duty->ledger_unread = 1;
 	refresh_if_due(duty);
 }
 
--- a/duty/usage_duty.h
+++ b/duty/usage_duty.h
@@ -29,6 +29,7 @@
 	uint64_t first_window; /* in which the lease was first acquired */
 	int refreshing;
 	int ledger_stale; /* records of other hosts may not be applied yet */
+	int ledger_unread; /* not read to the end since the lease was gained */
 	int writing; /* a close or reported record */
 	int sending;
 	int fenced; /* until the lease is acquired again */
--- a/duty/usage_ledger.c
+++ b/duty/usage_ledger.c
@@ -17,10 +17,9 @@
 	free(window);
 }
 
-void usage_ledger_finish(struct usage_ledger *ledger)
+void usage_ledger_forget(struct usage_ledger *ledger)
 {
 	struct usage_window *window = ledger->first;
-	struct usage_source *source = ledger->sources;
 
 	while (window) {
 		struct usage_window *next = window->next;
@@ -28,6 +27,15 @@
 		free_window(window);
 		window = next;
 	}
+	ledger->first = NULL;
+	ledger->closed_before = 0;
+}
+
+void usage_ledger_finish(struct usage_ledger *ledger)
+{
+	struct usage_source *source = ledger->sources;
+
+	usage_ledger_forget(ledger);
 	while (source) {
 		struct usage_source *next = source->next;
 
--- a/duty/usage_ledger.h
+++ b/duty/usage_ledger.h
@@ -40,6 +40,12 @@
 void usage_ledger_apply(struct usage_ledger *ledger, const uint8_t *data,
 			size_t len);
 
+/*
+ * Forgets all windows, as records of theirs cannot be read any more. Which sums
+ * of a host are repeats stays known.
+ */
+void usage_ledger_forget(struct usage_ledger *ledger);
+
 /*
  * Number of the window to close next. If none was closed yet, it is the first
  * window with a sum or `since`, whichever is lower. The ledger may have no
--- a/store/topic_follower.c
+++ b/store/topic_follower.c
@@ -123,9 +123,13 @@
 static int skip_dropped(struct topic_follower *follower,
 			const struct topic_read *read)
 {
-	if (read->first <= follower->next)
+	uint64_t from = follower->next;
+
+	if (read->first <= from)
 		return 0;
 	follower->next = read->first;
+	if (follower->vt->skipped)
+		follower->vt->skipped(follower, from, follower->next);
 	return 1;
 }
 
--- a/store/topic_follower.h
+++ b/store/topic_follower.h
@@ -17,6 +17,12 @@
 		      const uint8_t *data, size_t len);
 	/* All records of one read have been applied; may be NULL. */
 	void (*applied)(struct topic_follower *follower);
+	/*
+	 * The log has dropped the records from `from` to `to` before they were
+	 * read; may be NULL.
+	 */
+	void (*skipped)(struct topic_follower *follower, uint64_t from,
+			uint64_t to);
 };
 
 /* A request to apply all records that the partition has at that time. */
--- a/t/test-duties.cc
+++ b/t/test-duties.cc
@@ -694,3 +694,85 @@
 		EXPECT_EQ(second->lease.fence, platform_.calls[i].fence);
 	}
 }
+
+// Guards against a second report of a window: a host that holds the duties
+// again has missed the records with which others closed windows meanwhile, as
+// the log has dropped them.
+TEST_F(Duties, ReportNoWindowAgainWhoseRecordsWereDropped)
+{
+	for (uint64_t kept : { 0, 20 }) {
+		SCOPED_TRACE(kept);
+		std::map<uint64_t, int> reports;
+		FakePartition &log = topics_.partition("usage", 0);
+		DutyHost *first = add("a");
+		DutyHost *second = add("b", 250);
+		int64_t calls = (int64_t)platform_.calls.size();
+		const auto run = [&](int64_t ms) {
+			for (; ms > 0; ms -= 100) {
+				first->count_request("red");
+				second->count_request("blue");
+				time_.run(100);
+			}
+		};
+
+		// Its claims fail until its term is over.
+		const auto lose = [&](DutyHost *host) {
+			host->set_eligible(false);
+			topics_.faults = [](const std::string &kind,
+					    const std::string &topic) {
+				return kind == "append" && topic == "keyed.duty"
+					       ? Fault::REFUSED
+					       : Fault::NONE;
+			};
+			run(4000);
+			topics_.faults = nullptr;
+		};
+
+		ASSERT_GE(wait_holder(), 0);
+		ASSERT_EQ(first, holder());
+		run(20000);
+		lose(first);
+		run(60000);
+		ASSERT_EQ(second, holder());
+		topics_.forget("usage", 0, log.records.size() - kept);
+		first->set_eligible(true);
+		lose(second);
+		run(40000);
+		ASSERT_EQ(first, holder());
+		for (size_t i = (size_t)calls; i < platform_.calls.size(); i++)
+			if (platform_.calls[i].kind == "usage")
+				reports[platform_.calls[i].window]++;
+		EXPECT_GE(reports.size(), 20u);
+		for (const auto &window : reports)
+			EXPECT_EQ(1, window.second) << window.first;
+		hosts_.clear();
+	}
+}
+
+// The store drops a record that the holder has not read. The holder alone
+// closes windows, so that those which it counts stay as they are.
+TEST_F(Duties, ReportAllWindowsWhereRecordsAreDroppedMeanwhile)
+{
+	DutyHost *host = add("a");
+	FakePartition &log = topics_.partition("usage", 0);
+	uint64_t first, last;
+	bool dropped = false;
+
+	ASSERT_GE(wait_holder(), 0);
+	for (int step = 0; step < 400; step++) {
+		host->count_request("red");
+		time_.run(100);
+		if (dropped || platform_.reported.size() < 3)
+			continue;
+		topics_.append("usage", 0, "another's");
+		topics_.forget("usage", 0, log.records.size());
+		dropped = true;
+	}
+	ASSERT_TRUE(dropped);
+	ASSERT_GE(platform_.reported.size(), 4u);
+	first = platform_.reported.begin()->first;
+	last = platform_.reported.rbegin()->first;
+	EXPECT_EQ(last - first + 1, platform_.reported.size());
+	for (uint64_t window = first + 1; window < last; window++)
+		EXPECT_GE(platform_.reported[window]["red"], 40u) << window;
+}
--- a/t/test-topic-store.cc
+++ b/t/test-topic-store.cc
@@ -339,7 +339,8 @@
 	follower->offsets.push_back(offset);
 }
 
-const struct topic_follower_vtable follower_vtable = { on_apply, nullptr };
+const struct topic_follower_vtable follower_vtable = { on_apply, nullptr,
+						       nullptr };
 
 struct Refresh {
 	struct topic_refresh base;
