batch: store the score of a text without bytes

An item whose events have no data is listed as complete without its score: a text without bytes has no record in the log, and the record of the text is where the score is stored.

Write the record for the score alone as well. Decoding leaves an empty text at NULL, which the answer took for one that cannot be written.

Rewards.AreListedWithATextWithoutBytes fails without the change: the scores are empty.

--- a/batch/batch_call.c
+++ b/batch/batch_call.c
@@ -174,7 +174,9 @@
 	if (!text->record ||
 	    text->record->kind_case != CURRANT__TOPIC__TEXT_RECORD__KIND_TEXT)
 		return;
-	view->text = (const char *)text->record->text->text.data;
+	/* Decoding leaves a text without bytes at NULL. */
+	if (text->record->text->text.len)
+		view->text = (const char *)text->record->text->text.data;
 	view->text_len = text->record->text->text.len;
 	view->score = text->record->text->score;
 }
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -29,7 +29,7 @@
 	uint32_t failed_rewards;
 	uint64_t versions[ITEM_VERSIONS_MAX];
 	uint32_t version_count;
-	uint32_t text_bytes;
+	uint32_t text_bytes; /* of the text and its score; 0: no record */
 	uint32_t answer_bytes; /* size of the text in an answer */
 	uint64_t text_offset;
 };
@@ -217,11 +217,12 @@
 	pending->text_bytes = (uint32_t)item->output.text.len;
 	pending->answer_bytes = (uint32_t)platform_batch_text_bytes(
 		item->output.text.buf, item->output.text.len);
-	if (item->score)
-		pending->answer_bytes +=
-			SCORE_OVERHEAD_BYTES +
-			(uint32_t)platform_batch_text_bytes(
-				item->score, strlen(item->score));
+	if (!item->score)
+		return pending;
+	pending->text_bytes += (uint32_t)strlen(item->score);
+	pending->answer_bytes += SCORE_OVERHEAD_BYTES +
+				 (uint32_t)platform_batch_text_bytes(
+					 item->score, strlen(item->score));
 	return pending;
 }
 
--- a/t/lib-fake-engine.cc
+++ b/t/lib-fake-engine.cc
@@ -267,7 +267,9 @@
 		       std::to_string(reply.version + 1) + "\n";
 	text += "id: " + std::to_string(run->event) + "\ndata: " +
 		(run->event == reply.spoiled_at ? reply.spoiled : "") +
-		run->saw.id + "." + std::to_string(run->event) +
+		(reply.no_data
+			 ? ""
+			 : run->saw.id + "." + std::to_string(run->event)) +
 		std::string(reply.event_bytes, '"') + "\n\n";
 	if (reply.torn_after >= 0 && run->event > reply.torn_after) {
 		net_request_write(request, text.data(), text.size() / 2);
--- a/t/lib-fake-engine.h
+++ b/t/lib-fake-engine.h
@@ -41,6 +41,7 @@
 	bool starts_over = false; // whatever event it is to go on behind
 	int events = 3;
 	int event_bytes = 0; // further ones of each event's data
+	bool no_data = false; // of the events
 	int interval_ms = 1;
 	int cut_after = -1; // events; then the connection ends
 	int torn_after = -1; // likewise, in the middle of the next event
--- a/t/test-rewards.cc
+++ b/t/test-rewards.cc
@@ -444,3 +444,23 @@
 		EXPECT_EQ("after", result.score);
 	EXPECT_EQ(0u, before->seen.size());
 }
+
+// Guards against complete items without a score: the score of a text without
+// bytes was not stored, as texts without bytes have no record in the log.
+TEST_F(Rewards, AreListedWithATextWithoutBytes)
+{
+	BatchHost *host = add_host("a");
+	ServerReply silent = stream_reply(1);
+	ReadAnswer answer;
+
+	silent.no_data = true;
+	add_scorer("r1", ServerReply());
+	add_engine("e", silent);
+	ASSERT_EQ(202, host->submit(submission_));
+	ASSERT_TRUE(host->read_all(submission_, &answer));
+	for (const ReadResult &result : answer.results) {
+		EXPECT_EQ("complete", result.state);
+		EXPECT_EQ("", result.text);
+		EXPECT_EQ("r1", result.score);
+	}
+}
