t: let the stand-in of the platform read its request in time

PlatformDuties.CallsSayWhatIsAskedAndByWhom fails now and then on a busy machine: the call ends after 300 ms, and the stand-in's thread has not run by then, so that there is no request to look at.

The test looks at what is sent, not at when: give its calls 4 s, within the time that the test waits for their end, and say so if no request came.

--- a/t/test-platform-http.cc
+++ b/t/test-platform-http.cc
@@ -21,6 +21,8 @@
 {
 
 const int64_t TIMEOUT_NS = 300 * NS_PER_MS;
+// For tests of what is sent, which a server's thread has to read in time.
+const int64_t CONTENT_TIMEOUT_NS = 4 * NS_PER_S;
 
 std::string address_of(const RawServer &server)
 {
@@ -501,6 +503,12 @@
 		return server_.requests().at(0);
 	}
 
+	std::vector<std::string> requests()
+	{
+		return server_.requests();
+	}
+
+	int64_t timeout_ns = TIMEOUT_NS;
 	struct engine_report report;
 	int server_leaves = 0; // according to the last answer
 
@@ -509,7 +517,7 @@
 	{
 		call->holder = "h1";
 		call->fence = 12;
-		call->timeout_ns = TIMEOUT_NS;
+		call->timeout_ns = timeout_ns;
 		call->done = mark_done<struct duty_call>;
 		call->arg = &done_;
 	}
@@ -565,7 +573,10 @@
 		SCOPED_TRACE(c.line);
 		Duty duty(raw_answer(200, "{}"));
 
+		/* A busy machine may run the server's thread late. */
+		duty.timeout_ns = CONTENT_TIMEOUT_NS;
 		duty.call(c.what);
+		ASSERT_FALSE(duty.requests().empty());
 		EXPECT_EQ(0u, duty.request().find(c.line));
 		EXPECT_NE(std::string::npos, duty.request().find(c.field));
 		EXPECT_TRUE(ends_with(duty.request(), c.body))
