discovery: drop hosts whose notices are left over

A host that starts names hosts to callers that have long been off: their last notices stay in the store, and each counts as new when it is listed.

Drop a host when a listing ends whose notice has more records behind it than all hosts write in ten periods.

Discovery.NamesNoHostThatWasOffBeforeItStarts fails without the call in on_listed().

--- a/discovery/discovery.c
+++ b/discovery/discovery.c
@@ -174,7 +174,8 @@
 {
 	struct discovery *discovery = discovery_of(follower);
 
-	(void)offset;
+	/* A listing says nothing of how old the notices are. */
+	host_table_drop_silent(&discovery->hosts, offset);
 	discovery->crashes.is_restored = 1;
 	if (discovery->crashes_outdated)
 		discovery_publish_crashes(discovery);
--- a/discovery/host_table.c
+++ b/discovery/host_table.c
@@ -9,6 +9,12 @@
 /* A host counts as dead after this many periods without a notice. */
 #define DEAD_AFTER_PERIODS 2.5
 #define REMOVE_AFTER_NS (120 * NS_PER_S)
+/*
+ * Periods that a host misses at the least before its notice counts as left over
+ * by the records behind it. Several times DEAD_AFTER_PERIODS, as hosts also
+ * write where something changes.
+ */
+#define LEFT_OVER_PERIODS 10
 
 void host_table_init(struct host_table *table)
 {
@@ -118,6 +124,19 @@
 	       entry_host_is_alive(host, now_ns);
 }
 
+void host_table_drop_silent(struct host_table *table, uint64_t end)
+{
+	uint64_t records_max = (uint64_t)LEFT_OVER_PERIODS * table->count;
+	struct entry_host **at = &table->first;
+
+	while (*at) {
+		if (end > (*at)->offset && end - (*at)->offset > records_max)
+			remove_at(table, at);
+		else
+			at = &(*at)->next;
+	}
+}
+
 void host_table_sweep(struct host_table *table, int64_t now_ns)
 {
 	struct entry_host **at = &table->first;
--- a/discovery/host_table.h
+++ b/discovery/host_table.h
@@ -63,6 +63,12 @@
 /* Alive, ready and not leaving: may be named to callers. */
 int entry_host_takes_calls(const struct entry_host *host, int64_t now_ns);
 
+/*
+ * Removes hosts whose newest notice is so far behind `end`, the end of the log,
+ * that they must have missed many periods in which the others wrote theirs.
+ */
+void host_table_drop_silent(struct host_table *table, uint64_t end);
+
 /* Removes hosts without a notice for two minutes. */
 void host_table_sweep(struct host_table *table, int64_t now_ns);
 
--- a/t/test-discovery.cc
+++ b/t/test-discovery.cc
@@ -256,3 +256,52 @@
 		time_.run(1000);
 	}
 }
+
+namespace
+{
+
+struct LeftOverCase {
+	const char *name;
+	int64_t dead_ms; // one of five hosts, when another one starts
+	bool others_live; // meanwhile
+	bool seen; // by the one that starts, at first
+};
+
+const LeftOverCase left_over_cases[] = {
+	{ "just died", 500, true, true },
+	{ "long dead", 30000, true, false },
+	{ "all are dead", 30000, false, true },
+};
+
+} // namespace
+
+// Guards against addresses of hosts that have long been off, named to callers
+// by a host that starts: it listed their last notices and took them for new
+// ones.
+TEST_F(Discovery, NamesNoHostThatWasOffBeforeItStarts)
+{
+	for (const LeftOverCase &c : left_over_cases) {
+		SCOPED_TRACE(c.name);
+		uint64_t start = 10 * (uint64_t)(&c - left_over_cases);
+		Host *started;
+
+		for (const char *name : { "a", "b", "c", "d", "off" })
+			add(name, start + 1);
+		time_.run(5000);
+		if (c.others_live)
+			hosts_.pop_back();
+		else
+			hosts_.clear();
+		time_.run(c.dead_ms);
+		started = add("new", start + 2);
+		ASSERT_EQ(0, discovery_is_listed(&started->discovery));
+		while (!discovery_is_listed(&started->discovery))
+			time_.run(1);
+		EXPECT_EQ(c.seen, started->sees("off"));
+		EXPECT_TRUE(started->sees("a"));
+		time_.run(2000);
+		EXPECT_FALSE(started->sees("off"));
+		EXPECT_EQ(c.others_live, started->sees("a"));
+		hosts_.clear();
+	}
+}
