batch: write a batch's two configurations in one place

The lines given_up, config_awaited and config_read each built config= and accepted_config= themselves. The lines are as they were, field for field; test-batch-runner passes.

--- a/batch/batch_runner_private.h
+++ b/batch/batch_runner_private.h
@@ -26,6 +26,11 @@
 void runner_watch_config(struct batch_runner *runner,
 			 struct active_batch *batch);
 
+/* Adds the versions in force and of the acceptance to a line of the log. */
+void runner_record_configs(struct record *record,
+			   const struct batch_runner *runner,
+			   const struct batch *batch);
+
 int64_t runner_now_ns(const struct batch_runner *runner);
 
 /* Starts attempts of waiting items while engines have free slots. */
--- a/batch/runner_config.c
+++ b/batch/runner_config.c
@@ -13,17 +13,24 @@
 				     batch->applied_ns);
 }
 
+void runner_record_configs(struct record *record,
+			   const struct batch_runner *runner,
+			   const struct batch *batch)
+{
+	const struct entry_config *config = runner->config->current;
+
+	record_int(record, "config", config ? (int64_t)config->version : -1);
+	record_int(record, "accepted_config", (int64_t)batch->config_version);
+}
+
 static void report(struct batch_runner *runner,
 		   const struct active_batch *batch, const char *event)
 {
-	const struct entry_config *config = runner->config->current;
 	struct record record;
 
 	record_begin(&record, runner->log, "items", event);
 	record_text(&record, "batch", batch->batch->id);
-	record_int(&record, "config", config ? (int64_t)config->version : -1);
-	record_int(&record, "accepted_config",
-		   (int64_t)batch->batch->config_version);
+	runner_record_configs(&record, runner, batch->batch);
 	record_ms(&record, "waited_ms",
 		  runner_now_ns(runner) - batch->awaited_since_ns);
 	record_end(&record);
--- a/batch/runner_results.c
+++ b/batch/runner_results.c
@@ -226,15 +226,10 @@
 	return pending;
 }
 
-/* The configurations by which the item was accepted and given up. */
-static void put_configs(struct record *record,
-			const struct batch_runner *runner,
-			const struct batch *batch)
+/* How old what the item was judged by is: the configuration and the batch. */
+static void put_ages(struct record *record, const struct batch_runner *runner,
+		     const struct batch *batch)
 {
-	const struct entry_config *config = runner->config->current;
-
-	record_int(record, "config", config ? (int64_t)config->version : -1);
-	record_int(record, "accepted_config", (int64_t)batch->config_version);
 	record_ms(record, "config_age_ms",
 		  runner_now_ns(runner) - runner->config->trust.confirmed_ns);
 	record_ms(record, "batch_age_ms",
@@ -260,8 +255,10 @@
 	record_int(&record, "runs", item->attempt_count);
 	record_int(&record, "reward_calls", item->reward_calls);
 	record_text(&record, "reason", reason);
-	if (state == BATCH_ITEM_GIVEN_UP)
-		put_configs(&record, runner, item->owner->batch);
+	if (state == BATCH_ITEM_GIVEN_UP) {
+		runner_record_configs(&record, runner, item->owner->batch);
+		put_ages(&record, runner, item->owner->batch);
+	}
 	record_end(&record);
 }
 
