--- a/t/test-batch-versions.cc
+++ b/t/test-batch-versions.cc
@@ -26,6 +26,16 @@
 	uint64_t version; // of the results
 };
 
+// Whether all four items run at the engine and have two events each.
+bool all_run_for_two_events(BatchHost *host, FakeServer *engine)
+{
+	const struct item_attempt *a = host->runner.attempt_owner.attempts;
+
+	while (a && a->item->output.last_event >= 2)
+		a = a->next;
+	return !a && engine->running == 4;
+}
+
 void leave(BatchHost *host, FakeServer *engine)
 {
 	engine->join(&host->fleet, "s", "m", 3, true);
@@ -73,12 +83,7 @@
 		add_engine("alone", stream_reply(8, 100, 3), 3);
 		ASSERT_EQ(202, host->submit(submission));
 		ASSERT_TRUE(loop_.run_until([&] {
-			const struct item_attempt *a =
-				host->runner.attempt_owner.attempts;
-
-			while (a && a->item->output.last_event >= 2)
-				a = a->next;
-			return !a && engines_[0]->running == 4;
+			return all_run_for_two_events(host, engines_[0].get());
 		}));
 		add_engine("other", stream_reply(8, 1, 4), 4);
 		c.happens(host, engines_[0].get());
@@ -111,14 +116,8 @@
 
 	first->configure(2, alone);
 	ASSERT_EQ(202, first->submit(submission));
-	ASSERT_TRUE(loop_.run_until([&] {
-		const struct item_attempt *a =
-			first->runner.attempt_owner.attempts;
-
-		while (a && a->item->output.last_event >= 2)
-			a = a->next;
-		return !a && engine->running == 4;
-	}));
+	ASSERT_TRUE(loop_.run_until(
+		[&] { return all_run_for_two_events(first, engine); }));
 	second = add_host("b");
 	second->configure(2, alone);
 	engine->join(&second->fleet, "s", "m", 3);
