duty: name a version in one place

The daemon's listener and the reader of needs each recorded a named version, logged it and planned loads. The line named now always says which version was known before and why the new one is; what is ordered is unchanged. The tests of the duties pass.

--- a/duty/version_duty.c
+++ b/duty/version_duty.c
@@ -288,8 +288,20 @@
 			     duty);
 }
 
-void version_duty_on_new_version(struct version_duty *duty)
+void version_duty_name_version(struct version_duty *duty, const char *model,
+			       uint64_t version, const char *reason)
 {
+	uint64_t before = named_versions_get(duty->named, model);
+	struct record record;
+
+	if (!named_versions_put(duty->named, model, version))
+		return;
+	record_begin(&record, duty->log, "weights", "named");
+	record_text(&record, "model", model);
+	record_int(&record, "version", (int64_t)version);
+	record_int(&record, "before", (int64_t)before);
+	record_text(&record, "reason", reason);
+	record_end(&record);
 	schedule_plan(duty);
 }
 
@@ -309,34 +321,20 @@
 	record_end(&record);
 }
 
-/*
- * The host that published the need may have read a newer announcement than this
- * one. An order for an older version would be a load that no batch needs.
- */
-static void learn_named_version(struct version_duty *duty,
-				const struct weight_need *need)
-{
-	uint64_t known = named_versions_get(duty->named, need->model);
-	struct record record;
-
-	if (need->named_version <= known ||
-	    !named_versions_put(duty->named, need->model, need->named_version))
-		return;
-	record_begin(&record, duty->log, "weights", "named");
-	record_text(&record, "model", need->model);
-	record_int(&record, "version", (int64_t)need->named_version);
-	record_int(&record, "before", (int64_t)known);
-	record_text(&record, "reason", "need");
-	record_end(&record);
-}
-
 static void on_need(struct weight_board_listener *listener,
 		    const struct weight_need *need, int64_t reported_ns)
 {
 	struct version_duty *duty =
 		container_of(listener, struct version_duty, board_listener);
 
-	learn_named_version(duty, need);
+	/*
+	 * The host that published the need may have read a newer announcement
+	 * than this one. An order for an older version would be a load that no
+	 * batch needs.
+	 */
+	if (need->named_version > named_versions_get(duty->named, need->model))
+		version_duty_name_version(duty, need->model,
+					  need->named_version, "need");
 	if (need_table_put(&duty->needs, need, reported_ns, now_ns(duty))) {
 		log_need(duty, need, "too_many_needs");
 		return;
--- a/duty/version_duty.h
+++ b/duty/version_duty.h
@@ -59,7 +59,11 @@
 		       struct record_log *log, struct counter_set *counters);
 void version_duty_finish(struct version_duty *duty);
 
-/* To be called when a newer version was named. */
-void version_duty_on_new_version(struct version_duty *duty);
+/*
+ * Records the version in the table of named ones, and plans loads if it is
+ * newer than the one there. `reason` says how it became known, for the log.
+ */
+void version_duty_name_version(struct version_duty *duty, const char *model,
+			       uint64_t version, const char *reason);
 
 #endif
--- a/entry/entry_daemon.c
+++ b/entry/entry_daemon.c
@@ -88,15 +88,9 @@
 		       const char *model, uint64_t version)
 {
 	struct entry_daemon *daemon = daemon_of_version_listener(listener);
-	struct record record;
 
-	if (!named_versions_put(&daemon->named, model, version))
-		return;
-	record_begin(&record, &daemon->log, "weights", "named");
-	record_text(&record, "model", model);
-	record_int(&record, "version", (int64_t)version);
-	record_end(&record);
-	version_duty_on_new_version(&daemon->version_duty);
+	version_duty_name_version(&daemon->version_duty, model, version,
+				  "announced");
 }
 
 static void init_feeds(struct entry_daemon *daemon)
--- a/t/lib-duty-host.cc
+++ b/t/lib-duty-host.cc
@@ -382,8 +382,8 @@
 
 void DutyHost::name_version(const std::string &model, uint64_t version)
 {
-	if (named_versions_put(&named_, model.c_str(), version))
-		version_duty_on_new_version(&versions);
+	version_duty_name_version(&versions, model.c_str(), version,
+				  "announced");
 }
 
 void DutyHost::publish_need(const std::string &model, uint64_t min_version,
