forward: look up crashes once for each attempt

While any host lists a crash, each attempt hashed the request's body and searched all hosts' lists twice: to see whether it is rejected, and again to see whether it is to be marked as let through; an attempt that did not run hashed it once more. The first look-up now says both, and only requests that were rejected before are hashed again.

What is rejected and let through is unchanged: test-crashes, test-forward-crashes and the nine scenes of test-proof-crashing-request pass.

--- a/forward/crash_watch.c
+++ b/forward/crash_watch.c
@@ -102,13 +102,15 @@
 }
 
 int64_t crash_watch_refuses_ns(const struct crash_watch *watch,
-			       uint64_t request, const char *id)
+			       uint64_t request, const char *id,
+			       int *is_suspect)
 {
 	struct crash_tally tally;
 	int64_t refused_ms;
 
 	crash_board_tally(board_of(watch), request, now_ms(watch), &tally);
 	refused_ms = crash_tally_refused_ms(&tally);
+	*is_suspect = crash_tally_count(&tally) >= CRASHES_TO_REJECT;
 	if (!refused_ms)
 		return 0;
 	counter_add(watch->refused, 1);
--- a/forward/crash_watch.h
+++ b/forward/crash_watch.h
@@ -44,14 +44,16 @@
 
 /*
  * Remaining time for which the request (a hash) is rejected; 0 if it may run.
- * `id` is the caller's request id, for the log.
+ * Sets `*is_suspect` if so many servers were lost under it that it has been
+ * rejected. `id` is the caller's request id, for the log.
  */
 int64_t crash_watch_refuses_ns(const struct crash_watch *watch,
-			       uint64_t request, const char *id);
+			       uint64_t request, const char *id,
+			       int *is_suspect);
 
 /*
- * The request is sent to the server. If it was rejected before, all hosts
- * reject it until its outcome is known.
+ * A suspect request is sent to the server: all hosts reject it until its
+ * outcome is known.
  */
 void crash_watch_note_sent(struct crash_watch *watch, uint64_t request,
 			   const char *id, const char *server);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -27,15 +27,19 @@
 	return hash_bytes(request->body.buf, request->body.len, hash);
 }
 
-/* Remaining time for which the request is rejected for crashes; 0: none. */
-static int64_t crash_refusal_ns(const struct forward *forward)
+/*
+ * Remaining time for which the request is rejected for crashes; 0: none. Called
+ * before each attempt is started.
+ */
+static int64_t crash_refusal_ns(struct forward *forward)
 {
 	const struct crash_watch *watch = forward->forwarder->crashes;
 
+	forward->is_suspect = 0;
 	if (!watch || crash_watch_is_idle(watch))
 		return 0;
 	return crash_watch_refuses_ns(watch, forward_hash(forward),
-				      forward->caller.id);
+				      forward->caller.id, &forward->is_suspect);
 }
 
 static int may_repeat(const struct forward *forward)
@@ -53,17 +57,6 @@
 	       key_trust_holds(&config->trust, forward_now_ns(forward));
 }
 
-/* Of a request that was rejected for crashes, one attempt runs at a time. */
-static void note_sent(const struct forward *forward,
-		      const struct fleet_server *server)
-{
-	struct crash_watch *watch = forward->forwarder->crashes;
-
-	if (watch && !crash_watch_is_idle(watch))
-		crash_watch_note_sent(watch, forward_hash(forward),
-				      forward->caller.id, server->entry.id);
-}
-
 /* Starts an attempt at a server not tried yet; returns 0 if there is none. */
 static int start_next_attempt(struct forward *forward)
 {
@@ -76,7 +69,10 @@
 	if (!server)
 		return 0;
 	forward_note_tried(forward, server->entry.id);
-	note_sent(forward, server);
+	if (forward->is_suspect)
+		crash_watch_note_sent(forward->forwarder->crashes,
+				      forward_hash(forward), forward->caller.id,
+				      server->entry.id);
 	forward->sent++;
 	forward_attempt_start(forward, server, 0);
 	return 1;
--- a/forward/forward_attempt.c
+++ b/forward/forward_attempt.c
@@ -154,7 +154,7 @@
 					forward->caller.id,
 					attempt->server->entry.id);
 	else if ((outcome == ATTEMPT_NOT_RUN || outcome == ATTEMPT_NOT_SENT) &&
-		 !crash_watch_is_idle(watch))
+		 forward->is_suspect)
 		crash_watch_note_not_run(watch, forward_hash(forward));
 }
 
--- a/forward/forward_private.h
+++ b/forward/forward_private.h
@@ -46,6 +46,7 @@
 	uint32_t sent; /* attempts, without retries of stale connections */
 	int stale_retries;
 	int may_have_run; /* a server may have run the request */
+	int is_suspect; /* it was rejected for crashes before */
 	int response_started; /* its head was sent */
 	int response_has_events; /* another attempt may continue it */
 	int64_t last_event_id; /* sent to the caller; -1: none */
--- a/t/test-crashes.cc
+++ b/t/test-crashes.cc
@@ -220,7 +220,10 @@
 
 	int64_t refuses_ms(uint64_t request)
 	{
-		return crash_watch_refuses_ns(&watch, request, "id") /
+		int is_suspect;
+
+		return crash_watch_refuses_ns(&watch, request, "id",
+					      &is_suspect) /
 		       NS_PER_MS;
 	}
 
