--- a/entry/answers.h
+++ b/entry/answers.h
@@ -35,7 +35,7 @@
 #define CONFIG_BEHIND "config_behind"
 #define CONFIG_BEHIND_DETAIL                                                   \
 	"this host has not read the newest configuration yet"
-/* Reads of the configuration are repeated this often at the least. */
+/* Retry, preferably at another host; this one may have read it by then. */
 #define CONFIG_BEHIND_RETRY_NS (300 * NS_PER_MS)
 
 /* Sent by a host that stops; its callers use another one at once. */
